--- /dev/null
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -0,0 +1,59 @@
+package org.otterpond.cargo;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.otterpond.chart.Route;
+import org.otterpond.chart.RouteType;
+import org.otterpond.quay.Call;
+import org.otterpond.quay.Quay;
+import org.otterpond.quay.Tender;
+
+/** One request on its way: where it goes, what it may still try, and until when. */
+final class Passage {
+    final Call call;
+    final Route route;
+    final Fairway fairway;
+    final Set<String> tried = new HashSet<>();
+    private final long deadline;
+    private final long refuseAt;
+
+    int attempts;
+    String key;
+    String token;
+    long claimAsk;
+    Hull hull;
+    Tender tender;
+    Quay.Timer timer;
+    boolean finished;
+    /** True once a byte of the request may have reached a worker that has not disowned it. */
+    boolean mayHaveRun;
+
+    Passage(Call call, Route route, Fairway fairway, long deadline, long refuseAt) {
+        this.call = call;
+        this.route = route;
+        this.fairway = fairway;
+        this.deadline = deadline;
+        this.refuseAt = refuseAt;
+    }
+
+    int priority() {
+        return route.priority();
+    }
+
+    long deadline() {
+        return deadline;
+    }
+
+    /** When to refuse it if no worker has been offered it by then. */
+    long refuseAt() {
+        return refuseAt;
+    }
+
+    boolean keyed() {
+        return route.type() == RouteType.KEYED;
+    }
+
+    boolean repeatable() {
+        return route.type() == RouteType.IDEMPOTENT;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/chart/Configuration.java
@@ -0,0 +1,53 @@
+package org.otterpond.chart;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** One version of the configuration, checked, with its routes arranged for look-up. */
+public final class Configuration {
+    private final long revision;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, Service> services;
+    private final Limits limits;
+
+    Configuration(long revision, List<Route> routes, Map<String, Service> services, Limits limits) {
+        this.revision = revision;
+        this.services = Map.copyOf(services);
+        this.limits = limits;
+        for (Route r : routes) {
+            routesByHost.computeIfAbsent(r.host(), h -> new ArrayList<>()).add(r);
+        }
+        routesByHost.values().forEach(l ->
+                l.sort((a, b) -> Integer.compare(b.prefix().length(), a.prefix().length())));
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    public Limits limits() {
+        return limits;
+    }
+
+    public Map<String, Service> services() {
+        return services;
+    }
+
+    /** The route with the longest prefix that begins the path, or null. */
+    public Route route(String hostHeader, String path) {
+        String host = hostHeader.toLowerCase(Locale.ROOT);
+        int colon = host.lastIndexOf(':');
+        if (colon > 0 && host.indexOf(']', colon) < 0) {
+            host = host.substring(0, colon);
+        }
+        for (Route r : routesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(r.prefix())) {
+                return r;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/chart/Route.java
@@ -0,0 +1,28 @@
+package org.otterpond.chart;
+
+import java.util.List;
+
+/** One route. Times are in microseconds; aim 0 means that none was given. */
+public record Route(String name, String host, String prefix, RouteType type, long guardMicros, long aimMicros,
+        int priority, List<Target> targets, int maxAttempts) {
+
+    /** The service for a draw in [0, total weight). */
+    public String serviceFor(long draw) {
+        long left = draw;
+        for (Target t : targets) {
+            left -= t.weight();
+            if (left < 0) {
+                return t.service();
+            }
+        }
+        throw new IllegalArgumentException("draw outside the weights");
+    }
+
+    public long totalWeight() {
+        long sum = 0;
+        for (Target t : targets) {
+            sum += t.weight();
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/chart/RouteType.java
@@ -0,0 +1,15 @@
+package org.otterpond.chart;
+
+/** What may be repeated on a route. */
+public enum RouteType {
+    IDEMPOTENT, NON_IDEMPOTENT, KEYED;
+
+    static RouteType of(String word, String at) throws ChartException {
+        switch (word) {
+            case "idempotent": return IDEMPOTENT;
+            case "non_idempotent": return NON_IDEMPOTENT;
+            case "keyed": return KEYED;
+            default: throw new ChartException(at + ": idempotent, non_idempotent or keyed is wanted");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/harbour/Deck.java
@@ -0,0 +1,24 @@
+package org.otterpond.harbour;
+
+import java.util.function.Consumer;
+import org.otterpond.signal.Flag;
+
+/** Everything the state machines may do to the world. The daemon and the simulator each give one. */
+public interface Deck {
+    /** Monotonic time in microseconds. */
+    long now();
+
+    /** Sends a message; it may be lost, never damaged. */
+    void send(String address, Flag message);
+
+    /** Appends a record to this node's journal; the answer says whether it is durable. */
+    void journal(Flag record, Consumer<Boolean> done);
+
+    /** Runs later on the owner thread. */
+    void after(long delayMicros, Runnable task);
+
+    /** A number in [0, bound). */
+    long random(long bound);
+
+    void event(String line);
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -0,0 +1,434 @@
+package org.otterpond.harbour;
+
+import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.otterpond.chart.ChartException;
+import org.otterpond.chart.ConfigurationReader;
+import org.otterpond.chart.Fields;
+import org.otterpond.signal.Flag;
+
+/**
+ * The control side of one node: finds the core, keeps its lease by long polls, takes news of configuration and
+ * workers, tells again what it was told, and carries asks to the primary. Where there is a disk it is also core.
+ */
+public final class HarbourNode implements WatchListener {
+    private static final long HELLO = 250_000;
+    private static final long POLL_LOST = 1_300_000;
+    private static final long TOMBSTONE = 30_000_000;
+    private static final long BEAT_BATCH = 250_000;
+    public static final long TICK = 100_000;
+
+    private final Deck deck;
+    private final NodeIdentity me;
+    private final Shore shore;
+    private final Founding founding;
+    private final Watch watch;
+    private final Helm helm;
+
+    private EpochRecord known;
+    private final LinkedHashSet<String> contacts = new LinkedHashSet<>();
+    private long lastHello = Long.MIN_VALUE / 2;
+    private int helloTurn;
+
+    private JsonObject configuration;
+    private long revision;
+    private final Map<String, Vessel> roster = new LinkedHashMap<>();
+    private final Map<String, Long> endedAt = new HashMap<>();
+    private long tableVersion;
+    private long tableEpoch;
+    private long toldEpoch;
+    private long pollNumber;
+    private long polledAt;
+    private boolean polling;
+    private String polled;
+
+    private final Map<Long, Ask> asks = new LinkedHashMap<>();
+    private long askNumber;
+    private final Map<String, Flag> beatsWaiting = new LinkedHashMap<>();
+    private boolean beatsDue;
+
+    private static final class Ask {
+        Flag flag;
+        Consumer<Flag> answer;
+        long deadline;
+        long resend;
+        long sentAt;
+    }
+
+    public HarbourNode(Deck deck, NodeIdentity me, Shore shore, long heartbeatMicros, long keyWindowMicros,
+            long answerBytesBound) {
+        this.deck = deck;
+        this.me = me;
+        this.shore = shore;
+        this.askNumber = me.life() & 0xffff_ffff_0000L;
+        this.founding = new Founding(deck, me.address(), me.seeds(), me.firstLife());
+        if (me.diskId() != null) {
+            Berth berth = new Berth(me.diskId(), me.address(), me.name(), me.zone());
+            // The margin covers the longest time between a claim and the sending of what it allows.
+            Hold hold = new Hold(keyWindowMicros + 10_000_000, answerBytesBound);
+            this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold);
+            this.helm = new Helm(deck, watch, berth, heartbeatMicros);
+        } else {
+            this.watch = null;
+            this.helm = null;
+        }
+        contacts.addAll(me.seeds());
+    }
+
+    /** Replays the journal; call before {@link #start()}. */
+    public void replay(List<Flag> journal) {
+        if (watch != null) {
+            journal.forEach(watch::replay);
+            if (watch.record() != null) {
+                learnt(watch.record());
+            }
+        }
+    }
+
+    public List<Flag> journalBase() {
+        return watch.journalBase();
+    }
+
+    public void start() {
+        tick();
+    }
+
+    private void tick() {
+        long now = deck.now();
+        founding.tick();
+        if (founding.decided() != null) {
+            learnRecord(founding.decided());
+        }
+        if (watch != null) {
+            watch.tick();
+            helm.tick();
+        }
+        boolean lost = polling && now - polledAt > POLL_LOST;
+        if (known == null || lost) {
+            hello(now, lost);
+        }
+        if (known != null && (!polling || lost)) {
+            poll();
+        }
+        tickAsks(now);
+        endedAt.entrySet().removeIf(e -> {
+            if (now - e.getValue() > TOMBSTONE) {
+                roster.remove(e.getKey());
+                return true;
+            }
+            return false;
+        });
+        deck.after(TICK, this::tick);
+    }
+
+    private void hello(long now, boolean coreOnly) {
+        if (now - lastHello < HELLO) {
+            return;
+        }
+        lastHello = now;
+        Flag f = new Flag("hello").with("addr", me.address()).with("name", me.name()).with("zone", me.zone());
+        if (me.diskId() != null && me.blankDisk() && me.firstLife() && !watch.chartered()) {
+            f.with("blank", me.diskId());
+        }
+        List<String> to = new ArrayList<>();
+        if (known != null) {
+            known.members().forEach(m -> to.add(m.address()));
+        }
+        if (!coreOnly || ++helloTurn % 4 == 0) {
+            to.addAll(me.seeds());
+        }
+        List<String> others = new ArrayList<>(contacts);
+        if (!others.isEmpty()) {
+            to.add(others.get((int) deck.random(others.size())));
+        }
+        to.stream().distinct().filter(a -> !a.equals(me.address())).forEach(a -> deck.send(a, f));
+        if (f.has("blank") && me.seeds().contains(me.address())) {
+            founding.blankDisk(new Berth(me.diskId(), me.address(), me.name(), me.zone()));
+        }
+    }
+
+    // ---------------------------------------------------------------- epochs
+
+    private void learnRecord(EpochRecord r) {
+        if (r == null) {
+            return;
+        }
+        if (watch != null && !watch.chartered() && r.epoch() == 1 && me.blankDisk() && me.firstLife()) {
+            watch.found(r);
+        }
+        if (watch != null) {
+            watch.learn(r);
+        }
+        learnt(r);
+    }
+
+    @Override
+    public void learnt(EpochRecord r) {
+        if (known != null && (r.epoch() <= known.epoch() || !r.fleet().equals(known.fleet()))) {
+            return;
+        }
+        boolean moved = known == null || !known.primary().address().equals(r.primary().address());
+        known = r;
+        r.members().forEach(m -> contacts.add(m.address()));
+        deck.event("event=epoch_learnt epoch=" + r.epoch() + " primary=" + r.primary().name());
+        if (moved) {
+            polling = false;
+            deck.after(0, () -> {
+                if (!polling && known != null) {
+                    poll();
+                }
+            });
+        }
+        asks.values().forEach(this::sendAsk);
+    }
+
+    @Override
+    public void began(EpochRecord record) {
+        helm.began();
+        learnt(record);
+        Flag f = new Flag("harbour").with("record", record.toFlag());
+        contacts.stream().filter(a -> !a.equals(me.address())).forEach(a -> deck.send(a, f));
+        asks.values().forEach(this::sendAsk);
+    }
+
+    @Override
+    public void steppedDown() {
+        helm.steppedDown();
+    }
+
+    // ------------------------------------------------------------------ news
+
+    private void poll() {
+        polling = true;
+        polledAt = deck.now();
+        polled = known.primary().address();
+        Flag f = new Flag("poll").with("addr", me.address()).with("name", me.name()).with("zone", me.zone())
+                .with("disk", me.diskId()).with("life", me.life()).with("epoch", tableEpoch)
+                .with("table", tableVersion).with("cfg", revision).with("pn", ++pollNumber);
+        if (toldEpoch != known.epoch()) {
+            List<Flag> all = new ArrayList<>();
+            roster.values().forEach(v -> all.add(v.toFlag(deck.now())));
+            f.withFlags("tell", all);
+        }
+        deck.send(polled, f);
+    }
+
+    private void onNews(String from, Flag f) {
+        if (known == null || !from.equals(known.primary().address()) || f.number("epoch") < known.epoch()) {
+            return;
+        }
+        if (f.number("pn") != pollNumber) {
+            return;
+        }
+        polling = false;
+        if (f.has("record")) {
+            learnRecord(EpochRecord.of(f.flag("record")));
+            f.list("nodes").forEach(n -> contacts.add((String) n));
+            shore.nodes(f.list("nodes").size());
+        }
+        toldEpoch = f.number("epoch");
+        boolean configKept = takeConfiguration(f);
+        long now = deck.now();
+        f.flags("table").forEach(v -> takeVessel(Vessel.of(v, now)));
+        tableVersion = f.number("ver");
+        tableEpoch = f.number("epoch");
+        if (configKept && !polling) {
+            poll();
+        }
+    }
+
+    /** Takes a newer configuration; false if it must be asked for whole. */
+    private boolean takeConfiguration(Flag f) {
+        if (f.number("cfg") <= revision) {
+            return true;
+        }
+        try {
+            JsonObject next;
+            if (f.has("change")) {
+                if (f.number("base") != revision) {
+                    return true;
+                }
+                next = ConfigurationReader.modify(configuration, Fields.parse(f.text("change")));
+            } else {
+                next = Fields.parse(f.text("text"));
+            }
+            shore.configured(ConfigurationReader.read(next));
+            configuration = next;
+            revision = f.number("cfg");
+            deck.event("event=configuration_in_force revision=" + revision);
+        } catch (ChartException e) {
+            deck.event("event=configuration_unreadable revision=" + f.number("cfg") + " cause=" + e.getMessage());
+        }
+        return true;
+    }
+
+    private void takeVessel(Vessel news) {
+        Vessel old = roster.get(news.id());
+        Vessel merged = old == null ? news : old.merge(news);
+        if (merged == old) {
+            return;
+        }
+        roster.put(merged.id(), merged);
+        if (merged.state().compareTo(VesselState.LOST) >= 0) {
+            endedAt.put(merged.id(), deck.now());
+        } else {
+            endedAt.remove(merged.id());
+        }
+        if (merged.differs(old)) {
+            shore.worker(merged);
+        }
+    }
+
+    public boolean configured() {
+        return revision > 0;
+    }
+
+    public EpochRecord known() {
+        return known;
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    // ----------------------------------------------------------------- beats
+
+    /** A worker's beat or leave, met here. The answer says whether it is acknowledged. */
+    public void beat(Vessel v, Consumer<Boolean> acknowledged) {
+        if (v.state() == VesselState.IN_SERVICE) {
+            Vessel old = roster.get(v.id());
+            takeVessel(v);
+            beatsWaiting.put(v.id(), v.toFlag(deck.now()));
+            if (old == null) {
+                flushBeats();
+            } else if (!beatsDue) {
+                beatsDue = true;
+                deck.after(BEAT_BATCH, this::flushBeats);
+            }
+            acknowledged.accept(true);
+            return;
+        }
+        takeVessel(v);
+        ask(new Flag("ask").with("op", "beat").with("vessel", v.toFlag(deck.now())), 950_000, 300_000,
+                r -> acknowledged.accept(r != null));
+    }
+
+    private void flushBeats() {
+        beatsDue = false;
+        if (beatsWaiting.isEmpty()) {
+            return;
+        }
+        Flag f = new Flag("ask").with("op", "beats").withFlags("beats", beatsWaiting.values());
+        beatsWaiting.clear();
+        ask(f, 1_500_000, 500_000, r -> { });
+    }
+
+    /** The last record known of a worker's life, or null. */
+    public Vessel vessel(String id) {
+        return roster.get(id);
+    }
+
+    // ------------------------------------------------------------------ asks
+
+    /** Asks the primary, wherever the duty goes, until the time-out; null means no clear answer. */
+    public long ask(Flag f, long timeout, long resend, Consumer<Flag> answer) {
+        Ask a = new Ask();
+        long id = ++askNumber;
+        a.flag = f.with("rid", id);
+        a.answer = answer;
+        a.deadline = deck.now() + timeout;
+        a.resend = resend;
+        asks.put(id, a);
+        sendAsk(a);
+        deck.after(timeout, () -> {
+            Ask late = asks.remove(id);
+            if (late != null) {
+                late.answer.accept(null);
+            }
+        });
+        return id;
+    }
+
+    public void forgetAsk(long id) {
+        asks.remove(id);
+    }
+
+    private void sendAsk(Ask a) {
+        a.sentAt = deck.now();
+        if (known != null) {
+            deck.send(known.primary().address(), a.flag);
+        }
+    }
+
+    private void tickAsks(long now) {
+        for (Ask a : asks.values()) {
+            if (now - a.sentAt >= a.resend) {
+                sendAsk(a);
+            }
+        }
+    }
+
+    // -------------------------------------------------------------- messages
+
+    public void onMessage(String from, Flag f) {
+        switch (f.kind()) {
+            case "hello" -> {
+                if (f.has("blank")) {
+                    founding.blankDisk(new Berth(f.text("blank"), f.text("addr"), f.text("name"), f.text("zone")));
+                }
+                if (known != null) {
+                    deck.send(from, new Flag("harbour").with("record", known.toFlag()));
+                }
+            }
+            case "harbour" -> learnRecord(EpochRecord.of(f.flag("record")));
+            case "news" -> onNews(from, f);
+            case "poll" -> {
+                if (helm != null) {
+                    helm.onPoll(from, f);
+                } else if (known != null) {
+                    deck.send(from, new Flag("harbour").with("record", known.toFlag()));
+                }
+            }
+            case "ask" -> {
+                if (helm != null) {
+                    long rid = f.number("rid");
+                    helm.serve(f, r -> deck.send(from, r.with("rid", rid)));
+                }
+            }
+            case "reply" -> {
+                if (f.truth("moved")) {
+                    learnRecord(EpochRecord.of(f.flag("record")));
+                    return;
+                }
+                Ask a = asks.remove(f.number("rid"));
+                if (a != null) {
+                    a.answer.accept(f);
+                }
+            }
+            default -> {
+                if (!founding.onMessage(from, f) && watch != null) {
+                    watch.onMessage(from, f);
+                }
+            }
+        }
+    }
+
+    // ------------------------------------------------------------------ duty
+
+    public boolean leading() {
+        return watch != null && watch.leading();
+    }
+
+    /** Hands over what this node does for others, before a planned end. */
+    public void retire() {
+        if (watch != null) {
+            watch.retire();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/harbour/WatchTimes.java
@@ -0,0 +1,8 @@
+package org.otterpond.harbour;
+
+/** The core's time-outs, in microseconds. */
+public record WatchTimes(long ping, long backupSilence, long primarySilence, long resend, long phase, long diskStall) {
+    public static WatchTimes standard() {
+        return new WatchTimes(200_000, 700_000, 900_000, 250_000, 900_000, 700_000);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/keel/HarbourOffice.java
@@ -0,0 +1,183 @@
+package org.otterpond.keel;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.otterpond.chart.ChartException;
+import org.otterpond.chart.Fields;
+import org.otterpond.chart.Limits;
+import org.otterpond.harbour.EpochRecord;
+import org.otterpond.harbour.HarbourNode;
+import org.otterpond.harbour.Vessel;
+import org.otterpond.harbour.VesselState;
+import org.otterpond.quay.Call;
+import org.otterpond.quay.CallHandler;
+import org.otterpond.quay.Missive;
+import org.otterpond.quay.Quay;
+import org.otterpond.quay.Replies;
+import org.otterpond.signal.Flag;
+
+/** The control point: workers' beats, the operator's calls, status and metrics. */
+final class HarbourOffice implements CallHandler {
+    private static final String BEAT = "/-/Instances.Heartbeat/";
+    private static final String LEAVE = "/-/Instances.Deregister/";
+    private static final long ASK = 850_000;
+    private static final long BIG_ASK = 2_500_000;
+    private static final int BIG_TEXT = 64 * 1024;
+    private static final long RESEND = 250_000;
+    private static final Limits LIMITS = new Limits(32 * 1024, 16L << 20, 5_000_000, 20_000_000);
+
+    private final HarbourNode node;
+    private final MetricsPage metrics;
+
+    HarbourOffice(HarbourNode node, MetricsPage metrics) {
+        this.node = node;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public Limits limits() {
+        return LIMITS;
+    }
+
+    @Override
+    public boolean leaving() {
+        return false;
+    }
+
+    @Override
+    public void handle(Call call) {
+        Missive r = call.request();
+        String path = r.path();
+        String asked = r.method() + " " + path;
+        try {
+            if (r.method().equals("POST") && path.startsWith(BEAT)) {
+                beat(call, path.substring(BEAT.length()));
+            } else if (r.method().equals("POST") && path.startsWith(LEAVE)) {
+                leave(call, path.substring(LEAVE.length()));
+            } else if (asked.equals("POST /-/Configuration.Replace")) {
+                write(call, "replace");
+            } else if (asked.equals("POST /-/Configuration.Modify")) {
+                write(call, "modify");
+            } else if (asked.equals("GET /-/Configuration.Read")) {
+                read(call);
+            } else if (asked.equals("GET /-/status")) {
+                status(call);
+            } else if (asked.equals("GET /-/metrics")) {
+                call.answer(metrics.page());
+            } else {
+                call.answer(Replies.problem(404, "no such call"));
+            }
+        } catch (ChartException e) {
+            call.answer(Replies.problem(400, e.getMessage()));
+        }
+    }
+
+    private static String bodyOf(Call call) {
+        return new String(call.request().body(), StandardCharsets.UTF_8);
+    }
+
+    // --------------------------------------------------------------- workers
+
+    private void beat(Call call, String id) throws ChartException {
+        Fields f = Fields.of(Fields.parse(bodyOf(call)), "");
+        VesselState state = switch (f.text("state")) {
+            case "in_service" -> VesselState.IN_SERVICE;
+            case "draining" -> VesselState.DRAINING;
+            default -> throw new ChartException("state: in_service or draining is wanted");
+        };
+        Vessel v = new Vessel(id, f.text("target_service"), f.text("address"), f.text("zone", "-"),
+                f.text("revision", "-"), (int) f.whole("capacity_slots", 1, 1 << 20, 1), state,
+                f.whole("call_sequence", 0, Long.MAX_VALUE, 0),
+                Quay.now() + 1000 * f.whole("warmup_left_ms", 0, 86_400_000, 0));
+        acknowledge(call, v);
+    }
+
+    private void leave(Call call, String id) {
+        Vessel old = node.vessel(id);
+        Vessel v = old != null ? old.in(VesselState.GONE)
+                : new Vessel(id, "", "", "-", "-", 1, VesselState.GONE, 0, 0);
+        acknowledge(call, v);
+    }
+
+    private void acknowledge(Call call, Vessel v) {
+        node.beat(v, ok -> call.answer(ok ? Replies.json(200, "{}")
+                : Replies.unavailable("the primary did not confirm it", 0.1)));
+    }
+
+    // -------------------------------------------------------------- operator
+
+    private void ask(Call call, Flag f, long time, Consumer<Flag> use) {
+        node.ask(f, time, RESEND, r -> {
+            if (r == null) {
+                call.answer(Replies.problem(504, "no clear answer from the primary"));
+            } else {
+                use.accept(r);
+            }
+        });
+    }
+
+    private void write(Call call, String kind) throws ChartException {
+        String text = bodyOf(call);
+        String base = call.request().first("X-Otterpond-Base-Revision");
+        long number;
+        try {
+            number = base == null ? 0 : Long.parseLong(base.trim());
+        } catch (NumberFormatException e) {
+            throw new ChartException("X-Otterpond-Base-Revision: a whole number is wanted");
+        }
+        Flag f = new Flag("ask").with("op", "write").with("kind", kind).with("base", number).with("text", text);
+        ask(call, f, text.length() > BIG_TEXT ? BIG_ASK : ASK, r -> {
+            int status = (int) r.number("status");
+            call.answer(status == 200 ? Replies.json(200, "{}") : Replies.problem(status, r.text("cause")));
+        });
+    }
+
+    private void read(Call call) {
+        ask(call, new Flag("ask").with("op", "read"), ASK, r -> {
+            if (r.text("text") == null) {
+                call.answer(Replies.problem(404, "no configuration yet"));
+            } else {
+                call.answer(Replies.json(200, r.text("text")));
+            }
+        });
+    }
+
+    private void status(Call call) {
+        ask(call, new Flag("ask").with("op", "status"), ASK, r -> {
+            JsonObject o = new JsonObject();
+            EpochRecord e = EpochRecord.of(r.flag("record"));
+            o.addProperty("confirmed", r.truth("confirmed"));
+            o.addProperty("epoch", e.epoch());
+            o.addProperty("primary", e.primary().name());
+            o.addProperty("backup", e.backup() == null ? null : e.backup().name());
+            JsonArray members = new JsonArray();
+            e.members().forEach(m -> members.add(m.name()));
+            o.add("core", members);
+            o.addProperty("revision", r.number("rev"));
+            o.addProperty("claims", r.number("claims"));
+            o.add("nodes", rows(r, "nodes", "name", "addr", "cfg"));
+            o.add("workers", rows(r, "workers", "id", "service", "addr", "zone", "state", "slots"));
+            call.answer(Replies.json(200, o.toString()));
+        });
+    }
+
+    private static JsonElement rows(Flag r, String list, String... names) {
+        JsonArray out = new JsonArray();
+        for (Flag f : r.flags(list)) {
+            JsonObject o = new JsonObject();
+            for (String n : names) {
+                Object v = f.fields().get(n);
+                if (v instanceof Number x) {
+                    o.addProperty(n, x);
+                } else {
+                    o.addProperty(n, String.valueOf(v));
+                }
+            }
+            out.add(o);
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -0,0 +1,201 @@
+package org.otterpond.keel;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import org.otterpond.cargo.Pilotage;
+import org.otterpond.cargo.Tally;
+import org.otterpond.chart.ChartException;
+import org.otterpond.chart.Limits;
+import org.otterpond.chart.Settings;
+import org.otterpond.harbour.HarbourNode;
+import org.otterpond.harbour.NodeIdentity;
+import org.otterpond.logbook.Logbook;
+import org.otterpond.logbook.LogbookException;
+import org.otterpond.quay.Call;
+import org.otterpond.quay.CallHandler;
+import org.otterpond.quay.FrontDoor;
+import org.otterpond.quay.Links;
+import org.otterpond.quay.Missive;
+import org.otterpond.quay.Quay;
+import org.otterpond.quay.Replies;
+import org.otterpond.signal.Flag;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One node, put together: the owner thread, its listening points, the control side, the data path, the disk. */
+public final class Keel {
+    private static final Logger LOG = LoggerFactory.getLogger(Keel.class);
+    private static final long SETTINGS_CHECK = 2_000_000;
+    private static final long LEAVE_LEAST = 3_200_000;
+    private static final long LEAVE_MARGIN = 700_000;
+    private static final long ANSWER_SHARE = 12;
+    private static final long BODY_BOUND = 8L << 20;
+
+    private final Path file;
+    private final Quay quay;
+    private final Settings settings;
+    private Pilotage pilotage;
+    private FrontDoor front;
+    private long lastModified;
+    private boolean leaving;
+
+    public Keel(Path file, Settings settings) throws IOException {
+        this.file = file;
+        this.settings = settings;
+        this.quay = new Quay();
+    }
+
+    /** Runs until the node ends in order. */
+    public void run() throws IOException, LogbookException {
+        long life = Math.abs(new SecureRandom().nextLong());
+        ShipsDeck deck = new ShipsDeck(quay);
+        Logbook logbook = null;
+        List<Flag> journal = List.of();
+        String diskId = null;
+        boolean blank = false;
+        if (settings.dataDir() != null) {
+            logbook = new Logbook(Path.of(settings.dataDir()));
+            journal = logbook.open();
+            blank = journal.isEmpty();
+            diskId = blank ? Long.toHexString(Math.abs(new SecureRandom().nextLong())) : journal.get(0).text("disk");
+            if (blank) {
+                makeIdentity(logbook, diskId);
+            }
+        }
+        String id = diskId;
+        boolean isBlank = blank;
+        Tally tally = new Tally();
+        pilotage = new Pilotage(quay, settings, shore -> new HarbourNode(deck,
+                new NodeIdentity(settings.internalAddress(), settings.nodeName(), settings.zone(), id, isBlank,
+                        settings.initialStart(), settings.seedAddresses(), life),
+                shore, settings.heartbeatMicros(), settings.keyWindowMicros(),
+                ((long) settings.memoryMb() << 20) / ANSWER_SHARE), life, tally);
+        HarbourNode node = pilotage.node();
+        Links links = new Links(quay, settings.internalAddress(), node::onMessage);
+        deck.fit(links, logbook == null ? null : new Purser(quay, logbook, id, node::journalBase));
+        if (!journal.isEmpty()) {
+            node.replay(journal.subList(1, journal.size()));
+        }
+        listen(node, tally);
+        lastModified = file.toFile().lastModified();
+        quay.after(SETTINGS_CHECK, this::watchSettings);
+        quay.execute(node::start);
+        LOG.info("event=started node={} zone={} disk={} blank={} first={}", settings.nodeName(), settings.zone(),
+                id == null ? "none" : id, blank, settings.initialStart());
+        quay.run();
+    }
+
+    private static void makeIdentity(Logbook logbook, String diskId) throws LogbookException {
+        for (int i = 0; ; i++) {
+            try {
+                logbook.rotate(diskId, List.of());
+                return;
+            } catch (LogbookException e) {
+                LOG.warn("event=disk_not_ready cause=\"{}\"", e.getCause().toString());
+                if (i >= 60) {
+                    throw e;
+                }
+                try {
+                    Thread.sleep(500);
+                } catch (InterruptedException ie) {
+                    Thread.currentThread().interrupt();
+                    throw e;
+                }
+            }
+        }
+    }
+
+    private void listen(HarbourNode node, Tally tally) throws IOException {
+        int connections = Math.max(64, (settings.fileDescriptors() - 300) / 2);
+        if (settings.frontPoint() != null) {
+            front = new FrontDoor(quay, pilotage, Links.address(settings.frontPoint()), connections, BODY_BOUND);
+        }
+        if (settings.readinessPoint() != null) {
+            new FrontDoor(quay, new Readiness(), Links.address(settings.readinessPoint()), 64, 1024);
+        }
+        if (settings.controlPoint() != null) {
+            new FrontDoor(quay, new HarbourOffice(node, new MetricsPage(tally, pilotage, node)),
+                    Links.address(settings.controlPoint()), 400, 16L << 20);
+        }
+    }
+
+    private final class Readiness implements CallHandler {
+        @Override
+        public void handle(Call call) {
+            Missive r = call.request();
+            if (!r.path().equals("/-/readiness")) {
+                call.answer(Replies.problem(404, "no such call"));
+            } else if (pilotage.ready()) {
+                call.answer(Replies.json(200, "{\"ready\":true}"));
+            } else {
+                call.answer(Replies.json(503, "{\"ready\":false}"));
+            }
+        }
+
+        @Override
+        public Limits limits() {
+            return Limits.standard();
+        }
+
+        @Override
+        public boolean leaving() {
+            return false;
+        }
+    }
+
+    // -------------------------------------------------------------- settings
+
+    private void watchSettings() {
+        long m = file.toFile().lastModified();
+        if (m != lastModified) {
+            lastModified = m;
+            reload();
+        }
+        quay.after(SETTINGS_CHECK, this::watchSettings);
+    }
+
+    /** Reads the settings again. What can change in a running node does; a bad file changes nothing. */
+    public void reload() {
+        quay.execute(() -> {
+            try {
+                Settings fresh = Settings.load(file);
+                LOG.info("event=settings_reread changed={}", !fresh.equals(settings));
+            } catch (ChartException e) {
+                LOG.warn("event=settings_invalid kept=old cause=\"{}\"", e.getMessage());
+            }
+        });
+    }
+
+    // --------------------------------------------------------------- leaving
+
+    /** A planned end: not ready any more, duties handed over, everything in hand finished. */
+    public void leave() {
+        quay.execute(() -> {
+            if (leaving) {
+                return;
+            }
+            leaving = true;
+            LOG.info("event=leaving node={}", settings.nodeName());
+            pilotage.leave();
+            pilotage.node().retire();
+            long began = Quay.now();
+            quay.after(LEAVE_LEAST, () -> checkLeft(began));
+        });
+    }
+
+    private void checkLeft(long began) {
+        boolean late = Quay.now() - began > settings.graceMicros() - LEAVE_MARGIN;
+        boolean busy = pilotage.open() > 0 || (front != null && front.busy());
+        if (late || !busy) {
+            if (front != null) {
+                front.closeIdle();
+            }
+            LOG.info("event=left node={} busy={}", settings.nodeName(), busy);
+            quay.after(50_000, () -> Runtime.getRuntime().halt(0));
+            return;
+        }
+        quay.after(50_000, () -> checkLeft(began));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/keel/MetricsPage.java
@@ -0,0 +1,56 @@
+package org.otterpond.keel;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.LongAdder;
+import org.otterpond.cargo.Pilotage;
+import org.otterpond.cargo.Tally;
+import org.otterpond.harbour.HarbourNode;
+import org.otterpond.quay.Missive;
+
+/** The metrics, by Micrometer. The registry is made when it is first asked for, to keep a quiet node small. */
+final class MetricsPage {
+    private final Tally tally;
+    private final Pilotage pilotage;
+    private final HarbourNode node;
+    private PrometheusMeterRegistry registry;
+
+    MetricsPage(Tally tally, Pilotage pilotage, HarbourNode node) {
+        this.tally = tally;
+        this.pilotage = pilotage;
+        this.node = node;
+    }
+
+    Missive page() {
+        if (registry == null) {
+            registry = fill(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        }
+        return Missive.response(200).header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+                .body(registry.scrape().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private PrometheusMeterRegistry fill(PrometheusMeterRegistry r) {
+        count(r, "otterpond.requests", "Requests received", tally.requests);
+        count(r, "otterpond.requests.unrouted", "Requests with no route", tally.unrouted);
+        count(r, "otterpond.attempts", "Requests sent to a worker", tally.forwarded);
+        count(r, "otterpond.attempts.retried", "Attempts after the first", tally.retries);
+        count(r, "otterpond.attempts.turned_away", "Attempts that a worker disowned", tally.turnedAway);
+        count(r, "otterpond.attempts.failed", "Attempts without a whole answer", tally.failures);
+        count(r, "otterpond.answers", "Answers of workers passed on", tally.answered);
+        count(r, "otterpond.refusals", "Requests refused unrun", tally.refused);
+        count(r, "otterpond.timeouts", "Requests that reached their deadline", tally.timeouts);
+        count(r, "otterpond.replays", "Repeats answered from the ledger", tally.replays);
+        Gauge.builder("otterpond.requests.open", pilotage, Pilotage::open).register(r);
+        Gauge.builder("otterpond.configuration.revision", node, n -> n.revision()).register(r);
+        Gauge.builder("otterpond.epoch", node, n -> n.known() == null ? 0 : n.known().epoch()).register(r);
+        Gauge.builder("otterpond.primary", node, n -> n.leading() ? 1 : 0).register(r);
+        return r;
+    }
+
+    private static void count(PrometheusMeterRegistry r, String name, String what, LongAdder adder) {
+        FunctionCounter.builder(name, adder, LongAdder::sum).description(what).register(r);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/logbook/Logbook.java
@@ -0,0 +1,187 @@
+package org.otterpond.logbook;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+import org.otterpond.signal.Flag;
+import org.otterpond.signal.FlagCodec;
+import org.otterpond.signal.SignalException;
+
+/**
+ * An append-only journal of framed records (length, CRC-32C, CBOR), in numbered files. Reading ends at the first
+ * frame that is not whole, which after a loss of power can only be one whose sync was never answered.
+ * A file begins with everything that came before it, so one whole file is enough.
+ */
+public final class Logbook {
+    private static final int HEAD = 8;
+    private static final int MAX_RECORD = 48 << 20;
+    private static final String PREFIX = "log-";
+
+    private final Path folder;
+    private FileChannel channel;
+    private long number;
+    private long end;
+
+    public Logbook(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Opens the journal and reads what it holds; an empty list means a blank disk. */
+    public List<Flag> open() throws LogbookException {
+        try {
+            Files.createDirectories(folder);
+            List<Long> numbers = numbers();
+            for (int i = numbers.size() - 1; i >= 0; i--) {
+                Path file = file(numbers.get(i));
+                List<Flag> records = read(file);
+                if (!records.isEmpty() && records.get(0).kind().equals("base")
+                        && records.size() > records.get(0).number("count")) {
+                    number = numbers.get(i);
+                    channel = FileChannel.open(file, StandardOpenOption.WRITE);
+                    channel.truncate(end);
+                    return records;
+                }
+            }
+            number = numbers.isEmpty() ? 0 : numbers.get(numbers.size() - 1);
+            return List.of();
+        } catch (IOException e) {
+            throw new LogbookException("journal not readable in " + folder, e);
+        }
+    }
+
+    private List<Long> numbers() throws IOException {
+        List<Long> out = new ArrayList<>();
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path p : (Iterable<Path>) files::iterator) {
+                String n = p.getFileName().toString();
+                if (n.startsWith(PREFIX)) {
+                    try {
+                        out.add(Long.parseLong(n.substring(PREFIX.length())));
+                    } catch (NumberFormatException e) {
+                        continue;
+                    }
+                }
+            }
+        }
+        out.sort(Long::compare);
+        return out;
+    }
+
+    private Path file(long n) {
+        return folder.resolve(PREFIX + n);
+    }
+
+    private List<Flag> read(Path file) throws IOException {
+        byte[] all = Files.readAllBytes(file);
+        ByteBuffer b = ByteBuffer.wrap(all);
+        List<Flag> out = new ArrayList<>();
+        end = 0;
+        while (b.remaining() >= HEAD) {
+            int length = b.getInt();
+            int crc = b.getInt();
+            if (length <= 0 || length > b.remaining() || crcOf(all, b.position(), length) != crc) {
+                break;
+            }
+            try {
+                out.add(FlagCodec.decode(all, b.position(), length));
+            } catch (SignalException e) {
+                break;
+            }
+            b.position(b.position() + length);
+            end = b.position();
+        }
+        return out;
+    }
+
+    private static int crcOf(byte[] bytes, int offset, int length) {
+        CRC32C c = new CRC32C();
+        c.update(bytes, offset, length);
+        return (int) c.getValue();
+    }
+
+    /** A record as it stands in the file. */
+    public static byte[] frame(Flag f) {
+        byte[] body = FlagCodec.encode(f);
+        if (body.length > MAX_RECORD) {
+            throw new IllegalArgumentException("record too large: " + body.length);
+        }
+        return ByteBuffer.allocate(HEAD + body.length).putInt(body.length).putInt(crcOf(body, 0, body.length))
+                .put(body).array();
+    }
+
+    /** Appends frames and syncs once. After a failure nothing of them counts. */
+    public void append(List<byte[]> frames) throws LogbookException {
+        int size = 0;
+        for (byte[] f : frames) {
+            size += f.length;
+        }
+        ByteBuffer b = ByteBuffer.allocate(size);
+        frames.forEach(b::put);
+        b.flip();
+        try {
+            long at = end;
+            while (b.hasRemaining()) {
+                at += channel.write(b, at);
+            }
+            channel.force(false);
+            end = at;
+        } catch (IOException e) {
+            try {
+                channel.truncate(end);
+            } catch (IOException ignored) {
+                // The next append writes from the same place; what stands there fails its check or is replaced.
+            }
+            throw new LogbookException("journal not writable", e);
+        }
+    }
+
+    /** Begins a new file that stands for all before it, then lets the older ones go. */
+    public void rotate(String diskId, List<Flag> base) throws LogbookException {
+        long next = number + 1;
+        Path file = file(next);
+        try {
+            FileChannel fresh = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                    StandardOpenOption.TRUNCATE_EXISTING);
+            long at = 0;
+            List<Flag> all = new ArrayList<>();
+            all.add(new Flag("base").with("count", base.size()).with("disk", diskId));
+            all.addAll(base);
+            for (Flag f : all) {
+                ByteBuffer b = ByteBuffer.wrap(frame(f));
+                while (b.hasRemaining()) {
+                    at += fresh.write(b, at);
+                }
+            }
+            fresh.force(true);
+            if (channel != null) {
+                channel.close();
+            }
+            channel = fresh;
+            number = next;
+            end = at;
+            for (long n : numbers()) {
+                if (n < next) {
+                    Files.deleteIfExists(file(n));
+                }
+            }
+        } catch (IOException e) {
+            try {
+                Files.deleteIfExists(file);
+            } catch (IOException ignored) {
+                // A half-written file without its first record is passed over on reading.
+            }
+            throw new LogbookException("journal not rotated", e);
+        }
+    }
+
+    public long size() {
+        return end;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/quay/Links.java
@@ -0,0 +1,111 @@
+package org.otterpond.quay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.otterpond.signal.Flag;
+import org.otterpond.signal.FlagCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Connections between nodes. One connection serves both ways; messages are lost, whole, when it breaks. */
+public final class Links implements Mooring {
+    private static final Logger LOG = LoggerFactory.getLogger(Links.class);
+    private static final long CHECK = 300_000;
+    private static final long RECONNECT = 150_000;
+
+    private final Quay quay;
+    private final String self;
+    private final BiConsumer<String, Flag> receiver;
+    private final ServerSocketChannel server;
+    private final Map<String, Link> links = new HashMap<>();
+    private final List<Link> all = new ArrayList<>();
+    private final Map<String, Long> failedAt = new HashMap<>();
+
+    public Links(Quay quay, String self, BiConsumer<String, Flag> receiver) throws IOException {
+        this.quay = quay;
+        this.self = self;
+        this.receiver = receiver;
+        server = ServerSocketChannel.open();
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        server.bind(address(self), 128);
+        quay.moor(server, SelectionKey.OP_ACCEPT, this);
+        quay.after(CHECK, this::check);
+    }
+
+    public static InetSocketAddress address(String point) {
+        int colon = point.lastIndexOf(':');
+        return new InetSocketAddress(point.substring(0, colon), Integer.parseInt(point.substring(colon + 1)));
+    }
+
+    @Override
+    public void ready(SelectionKey key) {
+        try {
+            SocketChannel c;
+            while ((c = server.accept()) != null) {
+                all.add(new Link(quay, this, c, null));
+            }
+        } catch (IOException e) {
+            LOG.warn("event=link_accept_failed cause=\"{}\"", e.getMessage());
+        }
+    }
+
+    public void send(String to, Flag f) {
+        if (to.equals(self)) {
+            quay.execute(() -> receiver.accept(self, f));
+            return;
+        }
+        Link l = links.get(to);
+        if (l == null) {
+            Long failed = failedAt.get(to);
+            if (failed != null && Quay.now() - failed < RECONNECT) {
+                return;
+            }
+            try {
+                l = new Link(quay, this, SocketChannel.open(), to);
+                l.connect(address(to));
+            } catch (IOException | RuntimeException e) {
+                failedAt.put(to, Quay.now());
+                return;
+            }
+            links.put(to, l);
+            all.add(l);
+            l.send(FlagCodec.encode(new Flag("link").with("addr", self)));
+        }
+        l.send(FlagCodec.encode(f));
+    }
+
+    void received(Link from, Flag f) {
+        if (f.kind().equals("link")) {
+            from.peer(f.text("addr"));
+            links.put(f.text("addr"), from);
+            failedAt.remove(f.text("addr"));
+        } else if (from.peer() != null) {
+            receiver.accept(from.peer(), f);
+        }
+    }
+
+    void broken(Link l, boolean neverUp) {
+        all.remove(l);
+        if (l.peer() != null) {
+            links.remove(l.peer(), l);
+            if (neverUp) {
+                failedAt.put(l.peer(), Quay.now());
+            }
+        }
+    }
+
+    private void check() {
+        long now = Quay.now();
+        new ArrayList<>(all).forEach(l -> l.check(now));
+        quay.after(CHECK, this::check);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/quay/Replies.java
@@ -0,0 +1,26 @@
+package org.otterpond.quay;
+
+import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
+
+/** Answers that the system gives in its own name. */
+public final class Replies {
+    private Replies() {}
+
+    public static Missive problem(int status, String cause) {
+        JsonObject o = new JsonObject();
+        o.addProperty("cause", cause);
+        return json(status, o.toString());
+    }
+
+    public static Missive json(int status, String text) {
+        return Missive.response(status).header("Content-Type", "application/json")
+                .body(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** A promise that the request has not run and never will, with a time to come back after. */
+    public static Missive unavailable(String cause, double retryAfterSeconds) {
+        return problem(503, cause).header("Retry-After", String.format(java.util.Locale.ROOT, "%.3f",
+                retryAfterSeconds));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -0,0 +1,169 @@
+package org.otterpond.quay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+
+/** One connection to a worker; carries one request at a time. */
+public final class Tender implements Mooring {
+    private static final int MAX_ANSWER_HEAD = 64 * 1024;
+
+    private final Quay quay;
+    private final TenderPool pool;
+    private final SocketChannel channel;
+    private final SelectionKey key;
+    private final InBuffer in = new InBuffer();
+    private final OutBuffer out = new OutBuffer();
+    private final MissiveReader reader = new MissiveReader(in, false);
+
+    private boolean connected;
+    private boolean closed;
+    private Reception reception;
+    private Quay.Timer connectTimer;
+    private long usableUntil;
+    private long writtenBefore;
+
+    Tender(Quay quay, TenderPool pool, InetSocketAddress to, long connectMicros) throws IOException {
+        this.quay = quay;
+        this.pool = pool;
+        channel = SocketChannel.open();
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        key = quay.moor(channel, SelectionKey.OP_CONNECT, this);
+        reader.limits(MAX_ANSWER_HEAD, pool.answerBound());
+        try {
+            channel.connect(to);
+        } catch (IOException | RuntimeException e) {
+            key.cancel();
+            channel.close();
+            throw new IOException("connect", e);
+        }
+        connectTimer = quay.after(connectMicros, () -> {
+            if (!connected) {
+                close("connect_timeout");
+            }
+        });
+    }
+
+    /** Whether an idle connection can carry another request: nothing came, and it is not about to be closed. */
+    boolean usable(long now) {
+        if (closed || now >= usableUntil) {
+            return false;
+        }
+        try {
+            return channel.read(quay.scratch()) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    long usableUntil() {
+        return usableUntil;
+    }
+
+    void send(Missive request, Reception r) {
+        reception = r;
+        writtenBefore = out.written();
+        reader.expect(request.method().equals("HEAD"));
+        out.add(OutBuffer.encode(request, true, null));
+        if (connected) {
+            try {
+                flush();
+            } catch (IOException e) {
+                close("write_failed");
+            }
+        }
+    }
+
+    private void flush() throws IOException {
+        boolean all = out.flush(channel, quay.scratch());
+        int want = SelectionKey.OP_READ | (all ? 0 : SelectionKey.OP_WRITE);
+        if (key.interestOps() != want) {
+            key.interestOps(want);
+        }
+    }
+
+    @Override
+    public void ready(SelectionKey k) {
+        try {
+            if (k.isConnectable()) {
+                channel.finishConnect();
+                connected = true;
+                connectTimer.cancel();
+                flush();
+                return;
+            }
+            if (k.isWritable()) {
+                flush();
+            }
+            if (k.isReadable()) {
+                read();
+            }
+        } catch (IOException e) {
+            close(e instanceof BadBytesException ? "garbled" : connected ? "reset" : "refused");
+        }
+    }
+
+    private void read() throws IOException {
+        ByteBuffer scratch = quay.scratch();
+        int n = channel.read(scratch);
+        if (reception == null) {
+            // An idle connection has nothing to say but that it ends.
+            close("idle_end");
+            return;
+        }
+        if (n > 0) {
+            scratch.flip();
+            in.put(scratch);
+        }
+        Missive answer = reader.next(n < 0);
+        if (answer == null) {
+            if (n < 0) {
+                close("ended_early");
+            }
+            return;
+        }
+        Reception r = reception;
+        reception = null;
+        boolean keep = n >= 0 && !answer.old() && !answer.holds("Connection", "close") && !in.hasData()
+                && out.isEmpty();
+        if (keep) {
+            in.trim();
+            usableUntil = Quay.now() + pool.idleSpan(answer);
+            pool.free(this);
+        } else {
+            close("done");
+        }
+        r.answered(answer);
+    }
+
+    /** Gives the request up and the connection with it. */
+    public void abandon() {
+        reception = null;
+        close("abandoned");
+    }
+
+    void close(String why) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (connectTimer != null) {
+            connectTimer.cancel();
+        }
+        key.cancel();
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // Nothing is left to be done for it.
+        }
+        pool.left(this);
+        Reception r = reception;
+        reception = null;
+        if (r != null) {
+            r.failed(out.written() > writtenBefore, why);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/otterpond/quay/TenderPool.java
@@ -0,0 +1,111 @@
+package org.otterpond.quay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+
+/** The connections of this node to one life of a worker. */
+public final class TenderPool {
+    private static final long IDLE_UNTOLD = 4_000_000;
+    private static final long IDLE_MARGIN = 1_300_000;
+
+    private final Quay quay;
+    private final InetSocketAddress address;
+    private final long answerBound;
+    private final ArrayDeque<Tender> idle = new ArrayDeque<>();
+    private final Set<Tender> all = new HashSet<>();
+    private boolean closed;
+    private long opened;
+
+    public TenderPool(Quay quay, InetSocketAddress address, long answerBound) {
+        this.quay = quay;
+        this.address = address;
+        this.answerBound = answerBound;
+    }
+
+    long answerBound() {
+        return answerBound;
+    }
+
+    /** Sends on a kept connection or a new one; the tender is handed back so that it can be abandoned. */
+    public Tender send(Missive request, long connectMicros, Reception r) {
+        long now = Quay.now();
+        Tender t;
+        while ((t = idle.pollLast()) != null) {
+            if (t.usable(now)) {
+                t.send(request, r);
+                return t;
+            }
+            t.close("stale");
+        }
+        try {
+            t = new Tender(quay, this, address, connectMicros);
+        } catch (IOException e) {
+            quay.after(0, () -> r.failed(false, "refused"));
+            return null;
+        }
+        opened++;
+        all.add(t);
+        t.send(request, r);
+        return t;
+    }
+
+    void free(Tender t) {
+        if (closed) {
+            t.close("pool_closed");
+        } else {
+            idle.addLast(t);
+        }
+    }
+
+    void left(Tender t) {
+        all.remove(t);
+        idle.remove(t);
+    }
+
+    /** How long an idle connection may be used, going by what the worker said. */
+    long idleSpan(Missive answer) {
+        String k = answer.first("Keep-Alive");
+        if (k != null) {
+            for (String part : k.split(",")) {
+                String p = part.trim();
+                if (p.regionMatches(true, 0, "timeout=", 0, 8)) {
+                    try {
+                        long told = 1_000_000L * Integer.parseInt(p.substring(8).trim());
+                        return Math.max(told / 4, told - IDLE_MARGIN);
+                    } catch (NumberFormatException e) {
+                        return IDLE_UNTOLD;
+                    }
+                }
+            }
+        }
+        return IDLE_UNTOLD;
+    }
+
+    /** Closes what has been idle too long. */
+    public void sweep() {
+        long now = Quay.now();
+        for (Tender t : new ArrayList<>(idle)) {
+            if (now >= t.usableUntil()) {
+                t.close("idle");
+            }
+        }
+    }
+
+    /** Lets idle connections go, and busy ones when their answers are in. */
+    public void close() {
+        closed = true;
+        new ArrayList<>(idle).forEach(t -> t.close("pool_closed"));
+    }
+
+    public int open() {
+        return all.size();
+    }
+
+    public long opened() {
+        return opened;
+    }
+}
