--- /dev/null
+++ b/src/test/java/org/otterpond/sim/FleetFaultsTest.java
@@ -0,0 +1,215 @@
+package org.otterpond.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.otterpond.harbour.VesselState;
+
+/** Whole systems under faults, each seed its own schedule. */
+class FleetFaultsTest {
+    private static final long S = 1_000_000;
+
+    private static SimFleet founded(long seed) {
+        SimFleet f = new SimFleet(seed, 4, 4);
+        f.world.run(9 * S);
+        assertNotNull(f.leader(), () -> "no leader\n" + f.tail());
+        return f;
+    }
+
+    /** After all is well again: order, a change that is taken, and every node with the newest version. */
+    private static void settles(SimFleet f, long within) {
+        f.world.heal();
+        f.world.loss = 0;
+        f.all.forEach(n -> {
+            n.thaw();
+            if (n.disk != null) {
+                n.disk.stalled = false;
+                n.disk.refusing = false;
+            }
+            n.start();
+        });
+        f.world.run(within);
+        assertNotNull(f.leader(), () -> "no leader at the end\n" + f.tail());
+        f.quietCallers();
+        f.world.run(3 * S);
+        int before = f.checker.acknowledgements;
+        f.change(() -> { });
+        f.world.run(3 * S);
+        assertTrue(f.checker.acknowledgements > before, () -> "no change is taken\n" + f.tail());
+        assertEquals(List.of(), f.checker.broken, () -> f.tail());
+        long newest = f.checker.newestAcknowledged();
+        for (SimNode n : f.all) {
+            if (n.up()) {
+                assertEquals(newest, n.node.revision(), () -> n.address + " lags\n" + f.tail());
+            }
+        }
+    }
+
+    @Test
+    void oneCoreIsFoundedThoughASeedDiesMeanwhile() {
+        for (long seed = 1; seed <= 12; seed++) {
+            SimFleet f = new SimFleet(seed, 4, 4);
+            SimNode seedNode = f.world.nodes.get(seed % 2 == 0 ? "d1:1" : "n1:1");
+            f.world.run(1_600_000 + f.world.random.nextInt(2_000_000));
+            seedNode.kill();
+            f.world.run(2 * S);
+            seedNode.start();
+            f.callers();
+            f.world.run(12 * S);
+            settles(f, 4 * S);
+            long fleets = f.all.stream().map(n -> n.node.known().fleet()).distinct().count();
+            assertEquals(1, fleets);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    void nothingAcknowledgedIsLostUnderRandomFaults(long seed) {
+        SimFleet f = founded(seed);
+        f.callers();
+        for (int round = 0; round < 8; round++) {
+            SimNode d = f.disks.get(f.world.random.nextInt(f.disks.size()));
+            SimNode leader = f.leader();
+            if (leader != null && f.world.random.nextBoolean()) {
+                d = leader;
+            }
+            SimNode victim = d;
+            f.world.event("test", "round=" + round + " victim=" + victim.address);
+            switch (f.world.random.nextInt(9)) {
+                case 0 -> victim.kill();
+                case 1 -> victim.losePower();
+                case 2 -> {
+                    victim.losePower();
+                    victim.disk.wipe();
+                }
+                case 3 -> victim.freeze();
+                case 4 -> f.world.cutOff(victim.address);
+                case 5 -> victim.disk.stalled = true;
+                case 6 -> victim.disk.refusing = true;
+                case 7 -> f.all.forEach(n -> {
+                    if (f.world.random.nextInt(4) > 0) {
+                        n.losePower();
+                    }
+                });
+                default -> f.world.loss = 0.05;
+            }
+            f.world.run(S + f.world.random.nextInt(4_000_000));
+            f.world.heal();
+            f.world.loss = 0;
+            victim.thaw();
+            victim.disk.stalled = false;
+            victim.disk.refusing = false;
+            f.all.forEach(SimNode::start);
+            f.world.run(5 * S);
+        }
+        assertTrue(f.checker.grants > 200, "too few keys ran for the test to mean anything");
+        settles(f, 5 * S);
+    }
+
+    @Test
+    void acknowledgedChangeOutlivesTheWipeOfWhoeverAcknowledgedIt() {
+        for (long seed = 31; seed <= 40; seed++) {
+            SimFleet f = founded(seed);
+            f.change(() -> { });
+            f.world.run(S);
+            long newest = f.checker.newestAcknowledged();
+            assertTrue(newest > 0);
+            SimNode leader = f.leader();
+            leader.losePower();
+            leader.disk.wipe();
+            f.world.run(2 * S);
+            leader.start();
+            settles(f, 5 * S);
+        }
+    }
+
+    @Test
+    void coreComesBackWhenAllPowerIsLost() {
+        for (long seed = 41; seed <= 48; seed++) {
+            SimFleet f = founded(seed);
+            f.callers();
+            f.world.run(4 * S);
+            f.all.forEach(SimNode::losePower);
+            f.world.run(S);
+            settles(f, 6 * S);
+        }
+    }
+
+    @Test
+    void replacedCoreMachineIsTakenInAndTheOldOnePutOut() {
+        SimFleet f = founded(51);
+        f.callers();
+        f.world.run(2 * S);
+        SimNode gone = f.leader();
+        gone.losePower();
+        f.all.remove(gone);
+        f.disks.remove(gone);
+        f.world.nodes.remove(gone.address);
+        f.world.run(2_400_000);
+        SimNode fresh = f.add("d9:1", true);
+        fresh.joinLate();
+        f.world.run(6 * S);
+        assertTrue(f.leader().node.known().hasMember(fresh.disk.id), () -> f.tail());
+        assertFalse(f.leader().node.known().hasMember(gone.disk.id), () -> f.tail());
+        settles(f, 2 * S);
+    }
+
+    @Test
+    void drainingIsAcknowledgedOnlyOnceEveryNodeHasIt() {
+        SimFleet f = founded(61);
+        SimNode teller = f.world.nodes.get("n3:1");
+        teller.node.beat(f.worker("w1", VesselState.IN_SERVICE, 1), ok -> { });
+        f.world.run(S);
+        f.all.forEach(n -> assertEquals(VesselState.IN_SERVICE, n.workers.get("w1").state()));
+        boolean[] told = {false};
+        teller.node.beat(f.worker("w1", VesselState.DRAINING, 2), ok -> {
+            told[0] = ok;
+            f.all.forEach(n -> assertEquals(VesselState.DRAINING, n.workers.get("w1").state(), n.address));
+        });
+        f.world.run(S);
+        assertTrue(told[0]);
+    }
+
+    @Test
+    void newPrimaryLearnsTheWorkersFromThoseWhoWereToldFirst() {
+        SimFleet f = founded(62);
+        for (int i = 0; i < 5; i++) {
+            f.world.nodes.get("n" + (1 + i % 4) + ":1").node.beat(f.worker("w" + i, VesselState.IN_SERVICE, 1),
+                    ok -> { });
+        }
+        f.world.run(S);
+        f.leader().kill();
+        f.world.run(2_500_000);
+        assertNotNull(f.leader());
+        for (SimNode n : f.all) {
+            if (n.up()) {
+                assertEquals(5, n.workers.values().stream()
+                        .filter(w -> w.state() == VesselState.IN_SERVICE).count(), n.address);
+            }
+        }
+    }
+
+    @Test
+    void checkerNoticesADiskThatAnswersBeforeItHasSynced() {
+        int noticed = 0;
+        for (long seed = 71; seed <= 76; seed++) {
+            SimFleet f = founded(seed);
+            f.disks.forEach(d -> d.disk.lying = true);
+            f.callers();
+            f.world.run(4 * S);
+            f.all.forEach(SimNode::losePower);
+            f.disks.forEach(d -> d.disk.lying = false);
+            f.world.run(S);
+            f.all.forEach(SimNode::start);
+            f.world.run(8 * S);
+            noticed += f.checker.broken.isEmpty() ? 0 : 1;
+        }
+        assertTrue(noticed >= 5, "only " + noticed + " of 6 losses were noticed");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/otterpond/sim/SimFleet.java
@@ -0,0 +1,182 @@
+package org.otterpond.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.otterpond.harbour.Vessel;
+import org.otterpond.harbour.VesselState;
+import org.otterpond.signal.Flag;
+
+/** A whole system with its callers: an operator who changes the configuration, clients with operation keys. */
+final class SimFleet {
+    final SimWorld world;
+    final Checker checker;
+    final List<SimNode> disks = new ArrayList<>();
+    final List<SimNode> all = new ArrayList<>();
+    private final List<String> seeds;
+    private boolean calling = true;
+    private long nextRevision = 1;
+    private int tokenNumber;
+    private int keyNumber;
+
+    SimFleet(long seed, int withDisk, int without) {
+        world = new SimWorld(seed);
+        checker = new Checker(world);
+        // The seeds are one machine with a disk and two without, as a deployment may have it.
+        seeds = List.of("d1:1", without > 0 ? "n1:1" : "d2:1", without > 1 ? "n2:1" : "d3:1");
+        for (int i = 1; i <= withDisk; i++) {
+            disks.add(add("d" + i + ":1", true));
+        }
+        for (int i = 1; i <= without; i++) {
+            add("n" + i + ":1", false);
+        }
+        for (SimNode n : all) {
+            world.at(world.random.nextInt(1_500_000), n::start);
+        }
+    }
+
+    SimNode add(String address, boolean disk) {
+        SimNode n = new SimNode(world, checker, address, disk, seeds);
+        world.nodes.put(address, n);
+        all.add(n);
+        return n;
+    }
+
+    SimNode leader() {
+        return all.stream().filter(SimNode::leading).reduce((a, b) ->
+                a.node.known().epoch() > b.node.known().epoch() ? a : b).orElse(null);
+    }
+
+    SimNode anyUp() {
+        List<SimNode> up = all.stream().filter(SimNode::up).toList();
+        return up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
+    }
+
+    void callers() {
+        world.at(0, this::operator);
+        world.at(0, this::client);
+    }
+
+    void quietCallers() {
+        calling = false;
+    }
+
+    // -------------------------------------------------------------- operator
+
+    private void operator() {
+        if (!calling) {
+            return;
+        }
+        change(() -> world.at(300_000 + world.random.nextInt(400_000), this::operator));
+    }
+
+    /** One change on top of the newest version that a read gives. */
+    void change(Runnable then) {
+        read(rev -> {
+            if (rev < 0) {
+                then.run();
+                return;
+            }
+            long revision = Math.max(nextRevision, rev + 1);
+            nextRevision = revision + 1 + world.random.nextInt(3);
+            checker.sent(revision);
+            write(rev, revision, 4, then);
+        });
+    }
+
+    private void write(long base, long revision, int tries, Runnable then) {
+        SimNode n = anyUp();
+        if (n == null || tries == 0) {
+            then.run();
+            return;
+        }
+        String text = "{\"revision\":" + revision + ",\"route_table\":[],\"service_table\":[]}";
+        boolean[] first = {tries == 4};
+        n.node.ask(new Flag("ask").with("op", "write").with("kind", "replace").with("base", base).with("text", text),
+                900_000, 250_000, r -> {
+                    if (r == null) {
+                        world.at(100_000, () -> write(base, revision, tries - 1, then));
+                        return;
+                    }
+                    if (r.number("status") == 200) {
+                        checker.acknowledged(base, revision);
+                    } else if (first[0]) {
+                        checker.refused(revision);
+                    }
+                    then.run();
+                });
+    }
+
+    void read(Consumer<Long> use) {
+        SimNode n = anyUp();
+        if (n == null) {
+            use.accept(-1L);
+            return;
+        }
+        long before = checker.newestAcknowledged();
+        n.node.ask(new Flag("ask").with("op", "read"), 900_000, 250_000, r -> {
+            if (r == null) {
+                use.accept(-1L);
+            } else {
+                checker.readBack(before, r.number("rev"));
+                use.accept(r.number("rev"));
+            }
+        });
+    }
+
+    // --------------------------------------------------------------- clients
+
+    private void client() {
+        if (!calling) {
+            return;
+        }
+        world.at(10_000 + world.random.nextInt(20_000), this::client);
+        SimNode n = anyUp();
+        if (n == null) {
+            return;
+        }
+        int span = Math.min(keyNumber, 40);
+        boolean repeat = span > 0 && world.random.nextInt(3) == 0;
+        String key = "k" + (repeat ? keyNumber - world.random.nextInt(span) : ++keyNumber);
+        claim(n, key, "t" + ++tokenNumber);
+    }
+
+    private void claim(SimNode n, String key, String token) {
+        org.otterpond.harbour.HarbourNode node = n.node;
+        node.ask(new Flag("ask").with("op", "claim").with("key", key).with("token", token), 600_000, 200_000, r -> {
+            if (r == null) {
+                // Given up before anything was sent: it never runs.
+                tell(node, "free", key, token);
+            } else if (r.truth("granted")) {
+                checker.ran(key, token);
+                world.at(20_000 + world.random.nextInt(80_000), () -> {
+                    switch (world.random.nextInt(10)) {
+                        case 0 -> {
+                            checker.disowned(key, token);
+                            tell(node, "free", key, token);
+                        }
+                        case 1 -> tell(node, "unknown", key, token);
+                        default -> node.ask(new Flag("ask").with("op", "done").with("key", key).with("token", token)
+                                .with("answer", new Flag("answer").with("status", 200)
+                                        .with("body", token.getBytes(java.nio.charset.StandardCharsets.UTF_8))),
+                                2_000_000, 300_000, x -> { });
+                    }
+                });
+            }
+        });
+    }
+
+    private static void tell(org.otterpond.harbour.HarbourNode node, String op, String key, String token) {
+        node.ask(new Flag("ask").with("op", op).with("key", key).with("token", token), 2_000_000, 300_000, x -> { });
+    }
+
+    Vessel worker(String id, VesselState state, long sequence) {
+        return new Vessel(id, "svc", "10.0.0.1:80", "z", "v1", 4, state, sequence, 0);
+    }
+
+    /** What the log holds last, for a failed test. */
+    String tail() {
+        int n = world.log.size();
+        return String.join("\n", world.log.subList(Math.max(0, n - 60), n));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/otterpond/sim/SimNode.java
@@ -0,0 +1,183 @@
+package org.otterpond.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.otterpond.chart.Configuration;
+import org.otterpond.harbour.Deck;
+import org.otterpond.harbour.HarbourNode;
+import org.otterpond.harbour.NodeIdentity;
+import org.otterpond.harbour.Shore;
+import org.otterpond.harbour.Vessel;
+import org.otterpond.signal.Flag;
+
+/** One machine with one node on it, driving the same state machines as the daemon. */
+final class SimNode {
+    private final SimWorld world;
+    private final Checker checker;
+    final String address;
+    final SimDisk disk;
+    private final List<String> seeds;
+    private boolean firstStart = true;
+    private SimDeck deck;
+    HarbourNode node;
+    final Map<String, Vessel> workers = new HashMap<>();
+    private boolean frozen;
+    private final List<Runnable> frozenTasks = new ArrayList<>();
+
+    SimNode(SimWorld world, Checker checker, String address, boolean withDisk, List<String> seeds) {
+        this.world = world;
+        this.checker = checker;
+        this.address = address;
+        this.disk = withDisk ? new SimDisk(world) : null;
+        this.seeds = seeds;
+    }
+
+    boolean up() {
+        return node != null;
+    }
+
+    boolean leading() {
+        return node != null && !frozen && node.leading();
+    }
+
+    void start() {
+        if (node != null) {
+            return;
+        }
+        deck = new SimDeck();
+        workers.clear();
+        long life = world.random.nextLong() >>> 1;
+        boolean blank = disk != null && disk.blank();
+        checker.started(address, life);
+        node = new HarbourNode(deck, new NodeIdentity(address, address, "z", disk == null ? null : disk.id, blank,
+                firstStart, seeds, life), new SimShore(life), 1_500_000, Checker.WINDOW, 1 << 20);
+        if (disk != null && !blank) {
+            node.replay(disk.read());
+        }
+        firstStart = false;
+        node.start();
+    }
+
+    /** A machine added later never takes part in the founding. */
+    void joinLate() {
+        firstStart = false;
+        start();
+    }
+
+    void kill() {
+        if (node != null) {
+            deck.alive = false;
+            node = null;
+            frozen = false;
+            frozenTasks.clear();
+            if (disk != null) {
+                disk.processDied();
+            }
+        }
+    }
+
+    void losePower() {
+        if (disk != null) {
+            disk.losePower();
+        }
+        if (node != null) {
+            deck.alive = false;
+            node = null;
+            frozen = false;
+            frozenTasks.clear();
+        }
+    }
+
+    void freeze() {
+        frozen = node != null;
+    }
+
+    void thaw() {
+        frozen = false;
+        List<Runnable> tasks = new ArrayList<>(frozenTasks);
+        frozenTasks.clear();
+        tasks.forEach(Runnable::run);
+    }
+
+    void deliver(String from, Flag f) {
+        if (node == null) {
+            return;
+        }
+        SimDeck d = deck;
+        d.perform(() -> node.onMessage(from, f));
+    }
+
+    private final class SimShore implements Shore {
+        private final long life;
+
+        SimShore(long life) {
+            this.life = life;
+        }
+
+        @Override
+        public void configured(Configuration c) {
+            checker.inForce(address, life, c.revision());
+        }
+
+        @Override
+        public void worker(Vessel v) {
+            workers.put(v.id(), v);
+        }
+
+        @Override
+        public void nodes(int count) {
+            // Only the data path uses it.
+        }
+    }
+
+    private final class SimDeck implements Deck {
+        private boolean alive = true;
+
+        private void perform(Runnable task) {
+            if (!alive) {
+                return;
+            }
+            if (frozen) {
+                frozenTasks.add(() -> perform(task));
+            } else {
+                task.run();
+                if (node != null && alive && node.leading()) {
+                    checker.leads(address, node.known().epoch());
+                }
+            }
+        }
+
+        @Override
+        public long now() {
+            return world.now();
+        }
+
+        @Override
+        public void send(String to, Flag message) {
+            world.send(address, to, message);
+        }
+
+        @Override
+        public void journal(Flag record, Consumer<Boolean> done) {
+            disk.append(record, ok -> perform(() -> done.accept(ok)));
+        }
+
+        @Override
+        public void after(long delay, Runnable task) {
+            world.at(delay, () -> perform(task));
+        }
+
+        @Override
+        public long random(long bound) {
+            return Math.floorMod(world.random.nextLong(), bound);
+        }
+
+        @Override
+        public void event(String line) {
+            world.event(address, line);
+        }
+    }
+}
