--- a/src/main/java/org/otterpond/cargo/Hull.java
+++ b/src/main/java/org/otterpond/cargo/Hull.java
@@ -8,6 +8,7 @@
     Vessel vessel;
     final TenderPool pool;
     int inFlight;
+    long picked;
     long shunUntil;
     int failuresInRow;
     /** Lowered while the slow-worker flag stands. */
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -52,6 +52,7 @@
     private static final long SAMPLE = 20_000;
     private static final long WAIT_CHECK = 10_000;
     private static final long BUSY_AGAIN = 50_000;
+    private static final long FETCH = 400_000;
     private static final long LEAST_LEFT = 5_000;
     private static final int SMALL_FLEET = 8;
 
@@ -63,6 +64,8 @@
     private final Map<String, String> serviceOf = new HashMap<>();
     private final long life;
     private final Tally tally;
+    private final Locker locker;
+    private final Map<String, Double> nodeShares = new HashMap<>();
 
     private Configuration configuration;
     private int nodes = 1;
@@ -77,6 +80,7 @@
         this.settings = settings;
         this.life = life;
         this.tally = tally;
+        this.locker = new Locker(settings.keyWindowMicros() + 10_000_000, Runtime.getRuntime().maxMemory() / 4);
         this.random = new Random(ThreadLocalRandom.current().nextLong());
         this.node = nodeFor.apply(this);
         quay.after(SWEEP, this::sweep);
@@ -118,8 +122,16 @@
     }
 
     @Override
-    public void nodes(int count) {
-        nodes = count;
+    public void nodes(List<String> zones) {
+        nodes = zones.size();
+        nodeShares.clear();
+        zones.forEach(z -> nodeShares.merge(z, 1.0 / zones.size(), Double::sum));
+        fairways.values().forEach(f -> f.zones(settings.zone(), nodeShares, nodes));
+    }
+
+    @Override
+    public Flag keptAnswer(String key, String token) {
+        return locker.get(key, token);
     }
 
     @Override
@@ -136,6 +148,7 @@
                 h.pool.close();
                 f.hulls.remove(v.id());
                 serviceOf.remove(v.id());
+                f.arrange();
             }
             return;
         }
@@ -151,13 +164,18 @@
         } else {
             h.vessel = v;
         }
+        f.arrange();
         if (v.state() == VesselState.IN_SERVICE) {
             wake(f);
         }
     }
 
     private Fairway fairway(String service) {
-        return fairways.computeIfAbsent(service, s -> new Fairway(s, random, settings.ejectSlow()));
+        return fairways.computeIfAbsent(service, s -> {
+            Fairway f = new Fairway(s, random, settings.ejectSlow());
+            f.zones(settings.zone(), nodeShares, nodes);
+            return f;
+        });
     }
 
     private void sweep() {
@@ -288,9 +306,8 @@
             refuse(p, "the key could not be claimed in time");
         } else if (r.truth("granted")) {
             dispatch(p);
-        } else if (r.has("answer")) {
-            tally.replays.increment();
-            finish(p, replay(r.flag("answer"), p));
+        } else if (r.has("holder")) {
+            replayFrom(p, r.text("holder"), r.text("run"));
         } else if (r.truth("unknown")) {
             finish(p, Replies.problem(502, "an earlier try of this operation has no known outcome"));
         } else if (p.deadline() - Quay.now() > (p.deadline() - p.call.receivedAt()) / 2) {
@@ -310,6 +327,25 @@
         p.claimAsk = node.ask(ask, Math.max(20_000, (p.deadline() - Quay.now()) / 2), 200_000, r -> claimed(p, r));
     }
 
+    private void replayFrom(Passage p, String holder, String run) {
+        Flag here = locker.get(p.key, run);
+        if (here != null) {
+            replayed(p, here);
+            return;
+        }
+        node.fetch(holder, p.key, run, Math.min(FETCH, Math.max(LEAST_LEFT, p.deadline() - Quay.now() - LEAST_LEFT)),
+                a -> replayed(p, a));
+    }
+
+    private void replayed(Passage p, Flag a) {
+        if (a == null) {
+            finish(p, Replies.problem(502, "the operation has run; its answer is no longer at hand"));
+            return;
+        }
+        tally.replays.increment();
+        finish(p, replay(a, p));
+    }
+
     private void free(Passage p) {
         node.ask(new Flag("ask").with("op", "free").with("key", p.key).with("token", p.token), 3_000_000, 400_000,
                 r -> { });
@@ -327,8 +363,9 @@
     private void settleDone(Passage p, Missive m) {
         Flag answer = new Flag("answer").with("status", m.status()).with("body", m.body())
                 .with("seal", m.first(SEAL)).with("type", m.first("Content-Type"));
-        node.ask(new Flag("ask").with("op", "done").with("key", p.key).with("token", p.token).with("answer", answer),
-                3_000_000, 400_000, r -> { });
+        locker.put(p.key, p.token, answer, Quay.now());
+        node.ask(new Flag("ask").with("op", "done").with("key", p.key).with("token", p.token)
+                .with("holder", settings.internalAddress()), 3_000_000, 400_000, r -> { });
     }
 
     private static Missive replay(Flag a, Passage p) {
@@ -363,6 +400,7 @@
         p.hull = h;
         h.inFlight++;
         tally.forwarded.increment();
+        h.picked++;
         p.tender = h.pool.send(toWorker(p, h, left), Math.min(CONNECT, left), new Reception() {
             @Override
             public void answered(Missive response) {
--- a/src/main/java/org/otterpond/harbour/Claim.java
+++ b/src/main/java/org/otterpond/harbour/Claim.java
@@ -1,14 +1,12 @@
 package org.otterpond.harbour;
 
-import org.otterpond.signal.Flag;
-
 /** What the ledger holds of one operation key. */
 final class Claim {
     final String token;
     /** Monotonic time at which this node came to know the claim; its window runs from here. */
     final long since;
-    /** The first run's whole answer, or null. */
-    Flag answer;
+    /** The node that holds the first run's answer, or null. */
+    String holder;
     /** True once the run ended without a known outcome. */
     boolean unknown;
 
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -56,13 +56,13 @@
     private static final class Ask {
         Flag flag;
         Consumer<Flag> answer;
-        long deadline;
+        /** The one node asked, or null for the primary, whoever it is. */
+        String node;
         long resend;
         long sentAt;
     }
 
-    public HarbourNode(Deck deck, NodeIdentity me, Shore shore, long heartbeatMicros, long keyWindowMicros,
-            long answerBytesBound) {
+    public HarbourNode(Deck deck, NodeIdentity me, Shore shore, long heartbeatMicros, long keyWindowMicros) {
         this.deck = deck;
         this.me = me;
         this.shore = shore;
@@ -71,7 +71,7 @@
         if (me.diskId() != null) {
             Berth berth = new Berth(me.diskId(), me.address(), me.name(), me.zone());
             // The margin covers the longest time between a claim and the sending of what it allows.
-            Hold hold = new Hold(keyWindowMicros + 10_000_000, answerBytesBound);
+            Hold hold = new Hold(keyWindowMicros + 10_000_000);
             this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold);
             this.helm = new Helm(deck, watch, berth, heartbeatMicros);
         } else {
@@ -229,8 +229,12 @@
         polling = false;
         if (f.has("record")) {
             learnRecord(EpochRecord.of(f.flag("record")));
-            f.list("nodes").forEach(n -> contacts.add((String) n));
-            shore.nodes(f.list("nodes").size());
+            List<String> zones = new ArrayList<>();
+            for (Flag n : f.flags("nodes")) {
+                contacts.add(n.text("addr"));
+                zones.add(n.text("zone"));
+            }
+            shore.nodes(zones);
         }
         toldEpoch = f.number("epoch");
         boolean configKept = takeConfiguration(f);
@@ -338,11 +342,21 @@
 
     /** Asks the primary, wherever the duty goes, until the time-out; null means no clear answer. */
     public long ask(Flag f, long timeout, long resend, Consumer<Flag> answer) {
+        return ask(null, f, timeout, resend, answer);
+    }
+
+    /** Asks another node for the answer that it keeps of a run; null if it has none or does not say. */
+    public void fetch(String holder, String key, String token, long timeout, Consumer<Flag> answer) {
+        ask(holder, new Flag("fetch").with("key", key).with("token", token), timeout, timeout / 3 + 1,
+                r -> answer.accept(r == null ? null : r.flag("answer")));
+    }
+
+    private long ask(String to, Flag f, long timeout, long resend, Consumer<Flag> answer) {
         Ask a = new Ask();
+        a.node = to;
         long id = ++askNumber;
         a.flag = f.with("rid", id);
         a.answer = answer;
-        a.deadline = deck.now() + timeout;
         a.resend = resend;
         asks.put(id, a);
         sendAsk(a);
@@ -355,13 +369,11 @@
         return id;
     }
 
-    public void forgetAsk(long id) {
-        asks.remove(id);
-    }
-
     private void sendAsk(Ask a) {
         a.sentAt = deck.now();
-        if (known != null) {
+        if (a.node != null) {
+            deck.send(a.node, a.flag);
+        } else if (known != null) {
             deck.send(known.primary().address(), a.flag);
         }
     }
@@ -401,6 +413,8 @@
                     helm.serve(f, r -> deck.send(from, r.with("rid", rid)));
                 }
             }
+            case "fetch" -> deck.send(from, new Flag("reply").with("rid", f.number("rid"))
+                    .with("answer", shore.keptAnswer(f.text("key"), f.text("token"))));
             case "reply" -> {
                 if (f.truth("moved")) {
                     learnRecord(EpochRecord.of(f.flag("record")));
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -146,7 +146,9 @@
                 .with("pn", l.poll.number("pn"));
         if (fresh || nodes) {
             news.with("record", watch.record().toFlag());
-            news.with("nodes", new ArrayList<Object>(leases.keySet()));
+            List<Flag> nodesNow = new ArrayList<>();
+            leases.forEach((a, n) -> nodesNow.add(new Flag("n").with("addr", a).with("zone", n.poll.text("zone"))));
+            news.withFlags("nodes", nodesNow);
             l.nodesVersion = nodesVersion;
         }
         if (config) {
@@ -269,16 +271,16 @@
             case "claim" -> claim(ask, reply);
             case "free" -> {
                 Claim c = watch.hold().claim(ask.text("key"));
-                if (c != null && c.token.equals(ask.text("token")) && c.answer == null) {
+                if (c != null && c.token.equals(ask.text("token")) && c.holder == null) {
                     watch.propose(new Flag("free").with("key", ask.text("key")).with("token", ask.text("token")),
                             () -> { });
                 }
                 reply.accept(new Flag("reply"));
             }
             case "done" -> {
-                watch.hold().keepAnswer(ask.text("key"), ask.text("token"), ask.flag("answer"));
+                watch.hold().noteHolder(ask.text("key"), ask.text("token"), ask.text("holder"));
                 watch.tellBackup(new Flag("told").with("key", ask.text("key")).with("token", ask.text("token"))
-                        .with("answer", ask.flag("answer")));
+                        .with("holder", ask.text("holder")));
                 reply.accept(new Flag("reply"));
             }
             case "unknown" -> {
@@ -324,8 +326,9 @@
             return;
         }
         if (c != null) {
-            reply.accept(new Flag("reply").with("answer", c.answer).with("unknown", c.unknown ? true : null)
-                    .with("busy", c.answer == null && !c.unknown ? true : null));
+            reply.accept(new Flag("reply").with("holder", c.holder).with("run", c.token)
+                    .with("unknown", c.unknown ? true : null)
+                    .with("busy", c.holder == null && !c.unknown ? true : null));
             return;
         }
         List<Consumer<Flag>> pending = claimsInWriting.get(token);
--- a/src/main/java/org/otterpond/harbour/Shore.java
+++ b/src/main/java/org/otterpond/harbour/Shore.java
@@ -1,6 +1,8 @@
 package org.otterpond.harbour;
 
+import java.util.List;
 import org.otterpond.chart.Configuration;
+import org.otterpond.signal.Flag;
 
 /** The data plane, as the control side sees it: it is handed news. */
 public interface Shore {
@@ -8,6 +10,9 @@
 
     void worker(Vessel vessel);
 
-    /** How many nodes hold a lease. */
-    void nodes(int count);
+    /** The zones of the nodes that hold a lease, one entry a node. */
+    void nodes(List<String> zones);
+
+    /** The answer that this node keeps of that run, or null. */
+    Flag keptAnswer(String key, String token);
 }
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -644,7 +644,7 @@
                 }
             }
             case "rec" -> learn(EpochRecord.of(f.flag("record")));
-            case "told" -> hold.keepAnswer(f.text("key"), f.text("token"), f.flag("answer"));
+            case "told" -> hold.noteHolder(f.text("key"), f.text("token"), f.text("holder"));
             case "toldunknown" -> hold.markUnknown(f.text("key"), f.text("token"));
             default -> {
                 return false;
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -30,7 +30,6 @@
     private static final long SETTINGS_CHECK = 2_000_000;
     private static final long LEAVE_LEAST = 3_200_000;
     private static final long LEAVE_MARGIN = 700_000;
-    private static final long ANSWER_SHARE = 12;
     private static final long BODY_BOUND = 8L << 20;
 
     private final Path file;
@@ -70,8 +69,7 @@
         pilotage = new Pilotage(quay, settings, shore -> new HarbourNode(deck,
                 new NodeIdentity(settings.internalAddress(), settings.nodeName(), settings.zone(), id, isBlank,
                         settings.initialStart(), settings.seedAddresses(), life),
-                shore, settings.heartbeatMicros(), settings.keyWindowMicros(),
-                ((long) settings.memoryMb() << 20) / ANSWER_SHARE), life, tally);
+                shore, settings.heartbeatMicros(), settings.keyWindowMicros()), life, tally);
         HarbourNode node = pilotage.node();
         Links links = new Links(quay, settings.internalAddress(), node::onMessage);
         deck.fit(links, logbook == null ? null : new Purser(quay, logbook, id, node::journalBase));
