--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -28,6 +28,7 @@
     private final Berth self;
     private final Register register;
     private final Map<String, Lease> leases = new HashMap<>();
+    private final Map<String, Flag> early = new HashMap<>();
     private final Map<String, List<Consumer<Flag>>> claimsInWriting = new HashMap<>();
     private final List<DrainWait> drains = new ArrayList<>();
 
@@ -47,7 +48,12 @@
         long firstSeen;
     }
 
-    private record DrainWait(long version, long deadline, Consumer<Flag> reply) {}
+    private static final class DrainWait {
+        long version;
+        long deadline;
+        boolean durable;
+        Consumer<Flag> reply;
+    }
 
     private static final class PendingWrite {
         String digest;
@@ -64,10 +70,14 @@
 
     void began() {
         register.reset(deck.now());
+        watch.hold().workers().forEach(w -> register.take(Vessel.of(w, deck.now()), deck.now()));
         leases.clear();
         drains.clear();
         lastChange = null;
         nodesVersion++;
+        Map<String, Flag> polls = new HashMap<>(early);
+        early.clear();
+        deck.after(0, () -> polls.forEach(this::onPoll));
     }
 
     void steppedDown() {
@@ -89,6 +99,9 @@
         if (!watch.leading()) {
             if (watch.known() != null && !watch.known().primary().diskId().equals(self.diskId())) {
                 deck.send(from, new Flag("harbour").with("record", watch.known().toFlag()));
+            } else {
+                // This node is about to lead, as far as anybody knows: the poll is answered once it does.
+                early.put(from, poll);
             }
             return;
         }
@@ -106,13 +119,7 @@
         l.waiting = true;
         l.tableVersion = poll.number("epoch") == watch.record().epoch() ? poll.number("table") : 0;
         if (poll.has("tell")) {
-            boolean changed = false;
-            for (Flag f : poll.flags("tell")) {
-                changed |= register.take(Vessel.of(f, now), now);
-            }
-            if (changed) {
-                newsDue();
-            }
+            poll.flags("tell").forEach(f -> take(Vessel.of(f, now)));
         }
         checkDrains();
         answer(from, l, false);
@@ -191,7 +198,10 @@
             }
         }
         List<Vessel> lost = register.expire(now);
-        lost.forEach(v -> deck.event("event=worker_lost instance=" + v.id() + " service=" + v.service()));
+        lost.forEach(v -> {
+            deck.event("event=worker_lost instance=" + v.id() + " service=" + v.service());
+            keep(v, () -> { });
+        });
         if (!lost.isEmpty()) {
             newsDue();
         }
@@ -291,13 +301,7 @@
             }
             case "beat" -> beat(ask, reply);
             case "beats" -> {
-                boolean changed = false;
-                for (Flag f : ask.flags("beats")) {
-                    changed |= register.take(Vessel.of(f, deck.now()), deck.now());
-                }
-                if (changed) {
-                    newsDue();
-                }
+                ask.flags("beats").forEach(f -> take(Vessel.of(f, deck.now())));
                 reply.accept(new Flag("reply"));
             }
             case "write" -> write(ask, reply);
@@ -353,15 +357,33 @@
 
     private void beat(Flag ask, Consumer<Flag> reply) {
         Vessel v = Vessel.of(ask.flag("vessel"), deck.now());
-        if (register.take(v, deck.now())) {
-            newsDue();
-        }
+        take(v);
         if (v.state() == VesselState.IN_SERVICE) {
             reply.accept(new Flag("reply"));
             return;
         }
-        drains.add(new DrainWait(register.version(), deck.now() + DRAIN_WAIT, reply));
-        checkDrains();
+        DrainWait d = new DrainWait();
+        d.deadline = deck.now() + DRAIN_WAIT;
+        d.reply = reply;
+        d.version = register.version();
+        drains.add(d);
+        // Written again though it may be known: the acknowledgement waits for a commit of its own.
+        keep(register.get(v.id()), () -> {
+            d.durable = true;
+            checkDrains();
+        });
+    }
+
+    /** Takes what is told of a worker; a change is delivered, and written so that it outlives every process. */
+    private void take(Vessel v) {
+        if (register.take(v, deck.now())) {
+            newsDue();
+            keep(register.get(v.id()), () -> { });
+        }
+    }
+
+    private void keep(Vessel v, Runnable written) {
+        watch.propose(v.toFlag("worker", deck.now()), written);
     }
 
     /** Acknowledges leavers once every node that holds a lease has them as such. */
@@ -377,12 +399,12 @@
         List<DrainWait> ready = new ArrayList<>();
         while (it.hasNext()) {
             DrainWait d = it.next();
-            if (d.version() <= confirmed || deck.now() > d.deadline()) {
+            if (d.durable && (d.version <= confirmed || deck.now() > d.deadline)) {
                 it.remove();
                 ready.add(d);
             }
         }
-        ready.forEach(d -> d.reply().accept(new Flag("reply")));
+        ready.forEach(d -> d.reply.accept(new Flag("reply")));
     }
 
     // --------------------------------------------------------- configuration
--- a/src/main/java/org/otterpond/harbour/Hold.java
+++ b/src/main/java/org/otterpond/harbour/Hold.java
@@ -7,16 +7,24 @@
 import java.util.Map;
 import org.otterpond.signal.Flag;
 
-/** The replicated state: the newest configuration, what was taken before it, and the claims of operation keys. */
+/**
+ * The replicated state: the newest configuration, what was taken before it, the claims of operation keys, and the
+ * workers as last written, from which a system that has lost every process goes on before the workers beat again.
+ */
 final class Hold {
     private static final int HISTORY = 64;
     private static final String UNKNOWN = "?";
 
+    private static final long ENDED_KEPT = 60_000_000;
+
+    private record Known(Flag worker, long since) {}
+
     private final long windowMicros;
 
     private long revision;
     private String text;
     private final List<Flag> history = new ArrayList<>();
+    private final Map<String, Known> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Claim> claims = new LinkedHashMap<>();
 
     Hold(long windowMicros) {
@@ -31,6 +39,13 @@
         return text;
     }
 
+    /** The workers as last written, those that have ended among them for a while. */
+    List<Flag> workers() {
+        List<Flag> out = new ArrayList<>();
+        workers.values().forEach(k -> out.add(k.worker()));
+        return out;
+    }
+
     int claimCount() {
         return claims.size();
     }
@@ -69,6 +84,7 @@
                     history.remove(0);
                 }
             }
+            case "worker" -> workers.put(entry.text("id"), new Known(entry, now));
             default -> throw new IllegalArgumentException("no such entry: " + entry.kind());
         }
     }
@@ -91,6 +107,8 @@
 
     /** Forgets claims whose window has passed. Claims stand in the order in which they were learnt. */
     void expire(long now) {
+        workers.values().removeIf(k -> now - k.since() > ENDED_KEPT
+                && VesselState.valueOf(k.worker().text("state")).compareTo(VesselState.LOST) >= 0);
         Iterator<Map.Entry<String, Claim>> it = claims.entrySet().iterator();
         while (it.hasNext()) {
             Claim c = it.next().getValue();
@@ -110,7 +128,7 @@
             keys.add(c.holder == null ? c.unknown ? UNKNOWN : "" : c.holder);
         });
         return new Flag("state").with("rev", revision).with("text", text).withFlags("history", history)
-                .with("claims", keys);
+                .withFlags("workers", workers()).with("claims", keys);
     }
 
     /** Replaces everything; windows of the claims begin anew. */
@@ -119,6 +137,8 @@
         text = state.text("text");
         history.clear();
         history.addAll(state.flags("history"));
+        workers.clear();
+        state.flags("workers").forEach(w -> workers.put(w.text("id"), new Known(w, now)));
         claims.clear();
         List<Object> keys = state.list("claims");
         for (int i = 0; i + 2 < keys.size(); i += 3) {
--- a/src/main/java/org/otterpond/harbour/Vessel.java
+++ b/src/main/java/org/otterpond/harbour/Vessel.java
@@ -7,7 +7,11 @@
         VesselState state, long sequence, long warmUntil) {
 
     public Flag toFlag(long now) {
-        return new Flag("vessel").with("id", id).with("service", service).with("addr", address).with("zone", zone)
+        return toFlag("vessel", now);
+    }
+
+    Flag toFlag(String kind, long now) {
+        return new Flag(kind).with("id", id).with("service", service).with("addr", address).with("zone", zone)
                 .with("rev", revision).with("slots", slots).with("state", state.name()).with("seq", sequence)
                 .with("warm", Math.max(0, warmUntil - now));
     }
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -28,6 +28,8 @@
 
     // Durable, as in the journal.
     private long promised;
+    /** The epoch last promised to another member in this life; its candidate may ask again. */
+    private long promisedTo;
     private EpochRecord record;
 
     /** The newest record heard of; a hint, never a vote. */
@@ -92,7 +94,7 @@
         this.self = self;
         this.hold = hold;
         this.primaryHeard = deck.now();
-        this.nextRun = deck.now() + 300_000 + deck.random(200_000);
+        this.nextRun = deck.now() + 20_000 + deck.random(30_000);
     }
 
     /** Replays one journal record after a start. */
@@ -105,7 +107,7 @@
                 known = record;
             }
             case "state" -> hold.load(f, deck.now());
-            case "claim", "free", "config" -> hold.apply(f, deck.now());
+            case "claim", "free", "config", "worker" -> hold.apply(f, deck.now());
             default -> deck.event("event=journal_record_skipped kind=" + f.kind());
         }
         committedRevision = hold.revision();
@@ -206,6 +208,8 @@
         if (candidacy != null) {
             if (now - candidacy.startedAt > times.phase()) {
                 abandon("timeout");
+            } else if (!candidacy.copying) {
+                askPromises(candidacy, candidacy.base);
             }
             return;
         }
@@ -465,7 +469,10 @@
             askPromises(c, theirs);
         }
         long have = c.base.members().stream().filter(m -> c.promises.containsKey(m.diskId())).count();
-        if (have >= c.base.members().size()) {
+        boolean peerIn = c.base.members().stream().anyMatch(m -> !m.diskId().equals(self.diskId())
+                && !m.diskId().equals(excludedBackup) && c.base.inPair(m.diskId())
+                && c.promises.containsKey(m.diskId()));
+        if (have >= c.base.members().size() || have >= c.base.quorum() && peerIn) {
             choose(c);
         } else if (have >= c.base.quorum() && !c.settling) {
             c.settling = true;
@@ -659,17 +666,27 @@
         }
         long e = f.number("epoch");
         String from = f.text("from");
+        if (e == promised && e == promisedTo && record.epoch() <= f.number("base")) {
+            // Asked again: the first answer may be on its way to the disk still; this one follows it.
+            promise(e, from);
+            return;
+        }
         if (e <= promised || record.epoch() > f.number("base")) {
             deck.send(from, new Flag("nack").with("promised", promised).with("record", record.toFlag()));
             return;
         }
         promised = e;
+        promisedTo = e;
         if (leading) {
             stepDown("promised_higher");
         }
         candidacy = null;
         primaryHeard = deck.now();
         nextRun = deck.now() + times.phase() + deck.random(300_000);
+        promise(e, from);
+    }
+
+    private void promise(long e, String from) {
         write(new Flag("promise").with("epoch", e), ok -> {
             if (ok) {
                 deck.send(from, new Flag("prom").with("epoch", e).with("id", self.diskId())
