--- a/src/main/java/org/otterpond/cargo/Passage.java
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -25,6 +25,7 @@
     Tender tender;
     Quay.Timer timer;
     boolean finished;
+    boolean freed;
     /** True once a byte of the request may have reached a worker that has not disowned it. */
     boolean mayHaveRun;
 
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -285,11 +285,8 @@
     // ------------------------------------------------------------------ keys
 
     private void claim(Passage p) {
-        long wait = p.refuseAt() - Quay.now();
-        if (wait <= 0) {
-            refuse(p, "the key could not be claimed in time");
-            return;
-        }
+        // Longer than a worker is waited for: while the core changes hands, the answer comes within about a second.
+        long wait = Math.max(LEAST_LEFT, (p.deadline() - Quay.now()) * 2 / 5);
         Flag ask = new Flag("ask").with("op", "claim").with("key", p.key).with("token", p.token);
         p.claimAsk = node.ask(ask, wait, 200_000, r -> claimed(p, r));
     }
@@ -303,7 +300,9 @@
         }
         if (r == null) {
             free(p);
-            refuse(p, "the key could not be claimed in time");
+            tally.refused.increment();
+            finishNotRun(p, Replies.unavailable("the key could not be claimed in time",
+                    Math.max(0.05, (p.deadline() - Quay.now()) / 3.5e6)));
         } else if (r.truth("granted")) {
             dispatch(p);
         } else if (r.has("holder")) {
@@ -347,6 +346,7 @@
     }
 
     private void free(Passage p) {
+        p.freed = true;
         node.ask(new Flag("ask").with("op", "free").with("key", p.key).with("token", p.token), 3_000_000, 400_000,
                 r -> { });
     }
@@ -558,7 +558,7 @@
             finish(p, Replies.problem(502, "the outcome is not known"));
             return;
         }
-        if (p.keyed()) {
+        if (p.keyed() && !p.freed) {
             free(p);
         }
         finish(p, answer);
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -173,18 +173,16 @@
         if (known != null && (r.epoch() <= known.epoch() || !r.fleet().equals(known.fleet()))) {
             return;
         }
-        boolean moved = known == null || !known.primary().address().equals(r.primary().address());
         known = r;
         r.members().forEach(m -> contacts.add(m.address()));
         deck.event("event=epoch_learnt epoch=" + r.epoch() + " primary=" + r.primary().name());
-        if (moved) {
-            polling = false;
-            deck.after(0, () -> {
-                if (!polling && known != null) {
-                    poll();
-                }
-            });
-        }
+        // Whoever leads now has not seen the poll that is out, or has lost it.
+        polling = false;
+        deck.after(0, () -> {
+            if (!polling) {
+                poll();
+            }
+        });
         asks.values().forEach(this::sendAsk);
     }
 
@@ -386,6 +384,13 @@
         }
     }
 
+    /** The connection to another node was closed from there: its process has probably ended. */
+    public void peerClosed(String address) {
+        if (watch != null) {
+            watch.peerClosed(address);
+        }
+    }
+
     // -------------------------------------------------------------- messages
 
     public void onMessage(String from, Flag f) {
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -176,6 +176,22 @@
         nextRun = deck.now() + (first.primary().diskId().equals(self.diskId()) ? 200_000 : 800_000);
     }
 
+    /**
+     * The connection to a node was closed from there. If it is the other of the pair, it is given a moment to be
+     * heard again, as after a mere reset, in place of the whole time that silence would be given.
+     */
+    public void peerClosed(String address) {
+        if (record == null || !known.inPair(self.diskId())) {
+            return;
+        }
+        long now = deck.now();
+        if (leading() && record.backup() != null && record.backup().address().equals(address)) {
+            backupHeard = Math.min(backupHeard, now - times.backupSilence() + times.closedGrace());
+        } else if (!leading && known.primary().address().equals(address)) {
+            primaryHeard = Math.min(primaryHeard, now - times.primarySilence() + times.closedGrace());
+        }
+    }
+
     /** A newer record was heard of from anyone. */
     public void learn(EpochRecord r) {
         if (r == null || (known != null && (r.epoch() <= known.epoch() || !r.fleet().equals(known.fleet())))) {
--- a/src/main/java/org/otterpond/quay/Link.java
+++ b/src/main/java/org/otterpond/quay/Link.java
@@ -90,7 +90,7 @@
         try {
             flush();
         } catch (IOException e) {
-            close();
+            close(true);
         }
     }
 
@@ -120,7 +120,7 @@
                 read();
             }
         } catch (IOException | SignalException e) {
-            close();
+            close(true);
         }
     }
 
@@ -128,7 +128,7 @@
         ByteBuffer scratch = quay.scratch();
         int n = channel.read(scratch);
         if (n < 0) {
-            close();
+            close(true);
             return;
         }
         scratch.flip();
@@ -173,16 +173,16 @@
 
     void check(long now) {
         if (waitingSince != 0 && now - waitingSince > DEAD_AFTER) {
-            close();
+            close(false);
         } else if (connected && waitingSince != 0 && !pinged && now - waitingSince > ASK_AFTER) {
             pinged = true;
             frame(PING, Missive.EMPTY);
         } else if (now - usedAt > IDLE_CLOSE) {
-            close();
+            close(false);
         }
     }
 
-    void close() {
+    private void close(boolean byPeer) {
         if (closed) {
             return;
         }
@@ -193,6 +193,6 @@
         } catch (IOException e) {
             // Nothing is left to be done for it.
         }
-        links.broken(this, !connected);
+        links.broken(this, !connected, connected && byPeer);
     }
 }
--- a/src/main/java/org/otterpond/quay/Links.java
+++ b/src/main/java/org/otterpond/quay/Links.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.FlagCodec;
 import org.slf4j.Logger;
@@ -25,12 +26,15 @@
     private final Quay quay;
     private final String self;
     private final BiConsumer<String, Flag> receiver;
+    private final Consumer<String> closedByPeer;
     private final ServerSocketChannel server;
     private final Map<String, Link> links = new HashMap<>();
     private final List<Link> all = new ArrayList<>();
     private final Map<String, Long> failedAt = new HashMap<>();
 
-    public Links(Quay quay, String self, BiConsumer<String, Flag> receiver) throws IOException {
+    public Links(Quay quay, String self, BiConsumer<String, Flag> receiver, Consumer<String> closedByPeer)
+            throws IOException {
+        this.closedByPeer = closedByPeer;
         this.quay = quay;
         this.self = self;
         this.receiver = receiver;
@@ -93,10 +97,13 @@
         }
     }
 
-    void broken(Link l, boolean neverUp) {
+    void broken(Link l, boolean neverUp, boolean byPeer) {
         all.remove(l);
         if (l.peer() != null) {
-            links.remove(l.peer(), l);
+            boolean current = links.remove(l.peer(), l);
+            if (current && byPeer) {
+                closedByPeer.accept(l.peer());
+            }
             if (neverUp) {
                 failedAt.put(l.peer(), Quay.now());
             }
