--- a/src/main/java/org/otterpond/quay/MissiveReader.java
+++ b/src/main/java/org/otterpond/quay/MissiveReader.java
@@ -70,12 +70,15 @@
     }
 
     /** The next whole message, or null if more bytes are needed. */
-    Missive next(boolean endOfStream) throws IOException {
+    Missive next(boolean endOfStream) throws BadBytesException {
         try {
             return advance(endOfStream);
+        } catch (BadBytesException e) {
+            throw e;
         } catch (MessageConstraintException e) {
             throw new BadBytesException(e.getMessage(), 431);
-        } catch (HttpException e) {
+        } catch (HttpException | IOException e) {
+            // All bytes are in memory already, so whatever HttpCore complains of is in them.
             throw new BadBytesException(e.getMessage());
         }
     }
--- /dev/null
+++ b/src/test/java/org/otterpond/keel/ScriptedWorker.java
@@ -0,0 +1,103 @@
+package org.otterpond.keel;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+
+/** A worker whose every byte the test decides: it is given the request's text and gives the answer's. */
+final class ScriptedWorker implements AutoCloseable {
+    /** Ends the connection after what comes before it. */
+    static final String HANG_UP = "\u0000";
+
+    private final ServerSocket server;
+    final List<String> requests = new CopyOnWriteArrayList<>();
+    volatile Function<String, String> script = r -> ok(r, "hello");
+
+    ScriptedWorker() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        daemon(() -> {
+            while (!server.isClosed()) {
+                try {
+                    Socket s = server.accept();
+                    daemon(() -> serve(s));
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        });
+    }
+
+    private static void daemon(Runnable r) {
+        Thread t = new Thread(r, "scripted-worker");
+        t.setDaemon(true);
+        t.start();
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    static String header(String request, String name) {
+        for (String line : request.split("\r\n")) {
+            if (line.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
+                return line.substring(name.length() + 1).trim();
+            }
+        }
+        return null;
+    }
+
+    static String ok(String request, String body) {
+        return "HTTP/1.1 200 OK\r\nX-Otterpond-Attempt-Id: " + header(request, "X-Otterpond-Attempt-Id")
+                + "\r\nX-Otterpond-Server-Seal: seal\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private void serve(Socket s) {
+        try (s) {
+            InputStream in = s.getInputStream();
+            OutputStream out = s.getOutputStream();
+            while (true) {
+                String request = read(in);
+                if (request == null) {
+                    return;
+                }
+                requests.add(request);
+                String answer = script.apply(request);
+                boolean end = answer.endsWith(HANG_UP);
+                out.write(answer.replace(HANG_UP, "").getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+                if (end) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // The node hung up.
+        }
+    }
+
+    private static String read(InputStream in) throws IOException {
+        ByteArrayOutputStream b = new ByteArrayOutputStream();
+        while (!b.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int c = in.read();
+            if (c < 0) {
+                return null;
+            }
+            b.write(c);
+        }
+        String length = header(b.toString(StandardCharsets.ISO_8859_1), "Content-Length");
+        b.write(in.readNBytes(length == null ? 0 : Integer.parseInt(length)));
+        return b.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
