--- a/src/main/java/org/otterpond/cargo/Fairway.java
+++ b/src/main/java/org/otterpond/cargo/Fairway.java
@@ -127,7 +127,7 @@
         int ties = 0;
         for (Hull h : hulls.values()) {
             if (h.vessel.state() != VesselState.IN_SERVICE || tried.contains(h.id())
-                    || (heedShunning && h.shunUntil > now) || h.inFlight >= bound(h)
+                    || (heedShunning && (h.shunUntil > now || h.suspect(now))) || h.inFlight >= bound(h)
                     || (zone != null && !zone.equals(h.vessel.zone()))) {
                 continue;
             }
--- a/src/main/java/org/otterpond/cargo/Hull.java
+++ b/src/main/java/org/otterpond/cargo/Hull.java
@@ -5,10 +5,12 @@
 
 /** One worker as this node's data path sees it. */
 final class Hull {
+    private static final long SUSPECT_AFTER = 350_000;
+
     Vessel vessel;
     final TenderPool pool;
     int inFlight;
-    long picked;
+    private long quietSince;
     long shunUntil;
     int failuresInRow;
     /** Lowered while the slow-worker flag stands. */
@@ -29,8 +31,20 @@
         shunUntil = now + (100_000L << failuresInRow);
     }
 
-    void worked() {
+    void worked(long now) {
         failuresInRow = 0;
         shunUntil = 0;
+        quietSince = now;
+    }
+
+    void took(long now) {
+        if (inFlight++ == 0) {
+            quietSince = now;
+        }
+    }
+
+    /** Whether it has had work for so long without giving any answer that others are better tried first. */
+    boolean suspect(long now) {
+        return inFlight > 0 && now - quietSince > SUSPECT_AFTER;
     }
 }
--- a/src/main/java/org/otterpond/cargo/Passage.java
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -1,12 +1,13 @@
 package org.otterpond.cargo;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.otterpond.chart.Route;
 import org.otterpond.chart.RouteType;
 import org.otterpond.quay.Call;
 import org.otterpond.quay.Quay;
-import org.otterpond.quay.Tender;
 
 /** One request on its way: where it goes, what it may still try, and until when. */
 final class Passage {
@@ -21,9 +22,9 @@
     String key;
     String token;
     long claimAsk;
-    Hull hull;
-    Tender tender;
+    final List<Attempt> open = new ArrayList<>();
     Quay.Timer timer;
+    Quay.Timer hedge;
     boolean finished;
     boolean freed;
     /** True once a byte of the request may have reached a worker that has not disowned it. */
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -260,6 +260,9 @@
         p.finished = true;
         open--;
         p.timer.cancel();
+        if (p.hedge != null) {
+            p.hedge.cancel();
+        }
         p.fairway.waiting.remove(p);
         p.call.answer(answer);
     }
@@ -268,11 +271,11 @@
         if (p.finished) {
             return;
         }
-        if (p.hull != null) {
+        for (Attempt a : List.copyOf(p.open)) {
             p.mayHaveRun = true;
-            release(p);
-            if (p.tender != null) {
-                p.tender.abandon();
+            release(p, a);
+            if (a.tender != null) {
+                a.tender.abandon();
             }
         }
         if (p.keyed()) {
@@ -397,27 +400,44 @@
         }
         p.attempts++;
         p.tried.add(h.id());
-        p.hull = h;
-        h.inFlight++;
+        Attempt attempt = new Attempt(h);
+        p.open.add(attempt);
+        h.took(now);
         tally.forwarded.increment();
-        h.picked++;
-        p.tender = h.pool.send(toWorker(p, h, left), Math.min(CONNECT, left), new Reception() {
+        attempt.tender = h.pool.send(toWorker(p, h, left), Math.min(CONNECT, left), new Reception() {
             @Override
             public void answered(Missive response) {
-                if (!p.finished) {
-                    release(p);
+                if (release(p, attempt) && !p.finished) {
                     onAnswer(p, h, response);
                 }
             }
 
             @Override
             public void failed(boolean written, String why) {
-                if (!p.finished) {
-                    release(p);
+                if (release(p, attempt) && !p.finished) {
                     onFailure(p, h, written, why);
                 }
             }
         });
+        if (p.repeatable() && p.attempts < p.route.maxAttempts()) {
+            p.hedge = quay.after(hedgeAfter(p.route), () -> hedge(p));
+        }
+    }
+
+    private static long hedgeAfter(Route r) {
+        return (r.aimMicros() > 0 ? r.aimMicros() : DEFAULT_AIM) * 11 / 20;
+    }
+
+    /** A repeatable request that has waited for most of its aim is tried beside itself, if the budget allows. */
+    private void hedge(Passage p) {
+        long now = Quay.now();
+        if (p.finished || p.open.size() != 1 || p.attempts >= p.route.maxAttempts()
+                || p.deadline() - now < hedgeAfter(p.route) / 2 || p.fairway.pick(now, p.tried) == null
+                || !p.fairway.purse.spend()) {
+            return;
+        }
+        tally.hedges.increment();
+        dispatch(p);
     }
 
     private static Missive toWorker(Passage p, Hull h, long left) {
@@ -449,12 +469,14 @@
         }
     }
 
-    private void release(Passage p) {
-        if (p.hull != null) {
-            p.hull.inFlight--;
-            p.hull = null;
-            wake(p.fairway);
+    /** Takes the attempt off the books; false if it was off them already. */
+    private boolean release(Passage p, Attempt a) {
+        if (!p.open.remove(a)) {
+            return false;
         }
+        a.hull.inFlight--;
+        wake(p.fairway);
+        return true;
     }
 
     private void onAnswer(Passage p, Hull h, Missive m) {
@@ -462,8 +484,18 @@
         String id = m.first(ATTEMPT_ID);
         boolean foreign = id != null && !id.equals(p.call.request().first(ATTEMPT_ID));
         boolean success = m.status() / 100 == 2;
+        if (!foreign && !notRun) {
+            h.worked(Quay.now());
+        }
+        if (!success && !p.open.isEmpty()) {
+            // Another attempt is still at work, and may do better.
+            return;
+        }
         if (foreign || (success && m.first(SEAL) == null)) {
             h.failed(Quay.now());
+            if (!p.open.isEmpty()) {
+                return;
+            }
             broken(p, "the worker's answer is not one to this request");
             return;
         }
@@ -482,7 +514,6 @@
             }
             return;
         }
-        h.worked();
         if (p.keyed()) {
             settleDone(p, m);
         }
@@ -515,6 +546,9 @@
     private void onFailure(Passage p, Hull h, boolean written, String why) {
         h.failed(Quay.now());
         tally.failures.increment();
+        if (!p.open.isEmpty()) {
+            return;
+        }
         LOG.debug("event=attempt_failed service={} instance={} written={} why={}", p.fairway.name, h.id(), written,
                 why);
         if (!written) {
--- a/src/main/java/org/otterpond/cargo/Tally.java
+++ b/src/main/java/org/otterpond/cargo/Tally.java
@@ -11,6 +11,7 @@
     public final LongAdder turnedAway = new LongAdder();
     public final LongAdder failures = new LongAdder();
     public final LongAdder retries = new LongAdder();
+    public final LongAdder hedges = new LongAdder();
     public final LongAdder refused = new LongAdder();
     public final LongAdder timeouts = new LongAdder();
     public final LongAdder replays = new LongAdder();
--- a/src/main/java/org/otterpond/keel/MetricsPage.java
+++ b/src/main/java/org/otterpond/keel/MetricsPage.java
@@ -37,6 +37,7 @@
         count(r, "otterpond.requests.unrouted", "Requests with no route", tally.unrouted);
         count(r, "otterpond.attempts", "Requests sent to a worker", tally.forwarded);
         count(r, "otterpond.attempts.retried", "Attempts after the first", tally.retries);
+        count(r, "otterpond.attempts.hedged", "Attempts made beside one still open", tally.hedges);
         count(r, "otterpond.attempts.turned_away", "Attempts that a worker disowned", tally.turnedAway);
         count(r, "otterpond.attempts.failed", "Attempts without a whole answer", tally.failures);
         count(r, "otterpond.answers", "Answers of workers passed on", tally.answered);
