--- /dev/null
+++ b/src/test/java/org/otterpond/logbook/LogbookTest.java
@@ -0,0 +1,80 @@
+package org.otterpond.logbook;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.otterpond.signal.Flag;
+
+/** What the journal gives back after tears, and that one whole file stands for all before it. */
+class LogbookTest {
+    private static Flag record(int n) {
+        return new Flag("claim").with("key", "k" + n).with("token", "t".repeat(n % 40 + 1));
+    }
+
+    private static Logbook blank(Path folder) throws LogbookException {
+        Logbook l = new Logbook(folder);
+        assertEquals(List.of(), l.open());
+        l.rotate("disk-1", List.of());
+        return l;
+    }
+
+    @Test
+    void everyTearOfTheLastAppendLeavesWhatWasSyncedBefore(@TempDir Path folder) throws Exception {
+        Logbook l = blank(folder);
+        for (int i = 0; i < 20; i++) {
+            l.append(List.of(Logbook.frame(record(i))));
+        }
+        long synced = l.size();
+        l.append(List.of(Logbook.frame(record(20)), Logbook.frame(record(21)), Logbook.frame(record(22))));
+        Path file = folder.resolve("log-1");
+        byte[] whole = Files.readAllBytes(file);
+        for (int at = (int) synced; at < whole.length; at++) {
+            Files.write(file, Arrays.copyOf(whole, at));
+            int cut = new Logbook(folder).open().size();
+            byte[] hole = whole.clone();
+            Arrays.fill(hole, at, Math.min(whole.length, at + 16), (byte) 0);
+            Files.write(file, hole);
+            List<Flag> holed = new Logbook(folder).open();
+            assertTrue(cut >= 21 && cut < 24, "cut at " + at + " gave " + cut);
+            assertTrue(holed.size() >= 21 && holed.size() < 24, "hole at " + at + " gave " + holed.size());
+            for (int i = 0; i < holed.size() - 1; i++) {
+                assertEquals("k" + i, holed.get(i + 1).text("key"));
+            }
+        }
+    }
+
+    @Test
+    void appendAfterATearGoesOnFromTheLastWholeRecord(@TempDir Path folder) throws Exception {
+        Logbook l = blank(folder);
+        l.append(List.of(Logbook.frame(record(1)), Logbook.frame(record(2))));
+        Path file = folder.resolve("log-1");
+        byte[] whole = Files.readAllBytes(file);
+        Files.write(file, Arrays.copyOf(whole, whole.length - 3));
+        Logbook again = new Logbook(folder);
+        assertEquals(2, again.open().size());
+        again.append(List.of(Logbook.frame(record(3))));
+        List<Flag> read = new Logbook(folder).open();
+        assertEquals(List.of("k1", "k3"), read.subList(1, 3).stream().map(f -> f.text("key")).toList());
+    }
+
+    @Test
+    void halfWrittenNewFileIsPassedOverForTheWholeOldOne(@TempDir Path folder) throws Exception {
+        Logbook l = blank(folder);
+        l.append(List.of(Logbook.frame(record(1))));
+        byte[] old = Files.readAllBytes(folder.resolve("log-1"));
+        l.rotate("disk-1", List.of(record(1), record(2)));
+        byte[] fresh = Files.readAllBytes(folder.resolve("log-2"));
+        assertTrue(Files.notExists(folder.resolve("log-1")));
+        Files.write(folder.resolve("log-1"), old);
+        Files.write(folder.resolve("log-2"), Arrays.copyOf(fresh, fresh.length - 1));
+        List<Flag> read = new Logbook(folder).open();
+        assertEquals(2, read.size());
+        assertEquals("disk-1", read.get(0).text("disk"));
+    }
+}
