--- a/src/main/java/org/otterpond/Otterpond.java
+++ b/src/main/java/org/otterpond/Otterpond.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import org.otterpond.chart.ChartException;
 import org.otterpond.chart.Settings;
+import org.otterpond.client.Client;
 import org.otterpond.drill.Rehearsal;
 import org.otterpond.keel.Keel;
 import org.otterpond.logbook.LogbookException;
@@ -22,8 +23,7 @@
         if (args.length == 1 && args[0].equals("rehearse")) {
             System.exit(Rehearsal.run());
         }
-        System.err.println("usage: otterpond node");
-        System.exit(BAD_SETTINGS);
+        System.exit(Client.execute(args));
     }
 
     private static int node() {
--- /dev/null
+++ b/src/main/java/org/otterpond/client/ControlCall.java
@@ -0,0 +1,85 @@
+package org.otterpond.client;
+
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
+import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.util.Timeout;
+import org.otterpond.chart.ChartException;
+import org.otterpond.chart.Fields;
+
+/** Calls of the control points, one after another until one gives a clear answer. */
+final class ControlCall {
+    private static final Timeout PATIENCE = Timeout.ofSeconds(4);
+    private static final int ROUNDS = 3;
+
+    private final List<String> nodes;
+
+    ControlCall(List<String> nodes) {
+        this.nodes = nodes;
+    }
+
+    String get(String path) throws ClientException {
+        return call("GET", path, null, null);
+    }
+
+    String post(String path, String body, long base) throws ClientException {
+        return call("POST", path, body, Long.toString(base));
+    }
+
+    private String call(String method, String path, String body, String base) throws ClientException {
+        List<String> failures = new ArrayList<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            for (String node : nodes) {
+                try (HttpRequester requester = RequesterBootstrap.bootstrap()
+                        .setSocketConfig(SocketConfig.custom().setSoTimeout(PATIENCE).build()).create()) {
+                    ClassicHttpRequest r = ClassicRequestBuilder.create(method).setPath(path).build();
+                    if (body != null) {
+                        r.setEntity(new StringEntity(body, ContentType.APPLICATION_JSON));
+                        r.setHeader("X-Otterpond-Base-Revision", base);
+                    }
+                    try (ClassicHttpResponse a = requester.execute(HttpHost.create("http://" + node), r, PATIENCE,
+                            HttpCoreContext.create())) {
+                        String text = a.getEntity() == null ? "" : EntityUtils.toString(a.getEntity(),
+                                StandardCharsets.UTF_8);
+                        if (a.getCode() / 100 == 2) {
+                            return text;
+                        }
+                        if (a.getCode() / 100 == 4 && a.getCode() != 408 && a.getCode() != 429) {
+                            throw new ClientException(ClientException.REFUSED, a.getCode() + ": " + cause(text));
+                        }
+                        failures.add(node + ": " + a.getCode() + " " + cause(text));
+                    }
+                } catch (IOException | HttpException e) {
+                    failures.add(node + ": " + e.getMessage());
+                } catch (java.net.URISyntaxException e) {
+                    throw new ClientException(2, "--node: host:port is wanted, not " + node);
+                }
+            }
+        }
+        throw new ClientException(ClientException.UNREACHED, "no clear answer; the last: "
+                + failures.get(failures.size() - 1));
+    }
+
+    private static String cause(String text) {
+        try {
+            JsonObject o = Fields.parse(text);
+            return o.has("cause") ? o.get("cause").getAsString() : text;
+        } catch (ChartException e) {
+            return text;
+        }
+    }
+}
--- a/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
+++ b/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.otterpond.chart.Settings;
+import org.otterpond.client.Client;
 
 /** One node over real sockets: what a client, a worker and an operator may do to HTTP. */
 class GatewayLoopbackTest {
@@ -340,6 +341,22 @@
         }
     }
 
+    @Test
+    void clientReadsChecksAndReportsByExitCode(@TempDir Path folder) throws IOException {
+        String node = "127.0.0.1:" + control;
+        assertEquals(0, Client.execute("status", "--node", node));
+        assertEquals(0, Client.execute("config", "get", "-n", node));
+        Path file = folder.resolve("c.json");
+        Files.writeString(file, "{\"revision\":8,\"route_table\":[],\"service_table\":[]}");
+        assertEquals(0, Client.execute("config", "validate", file.toString()));
+        assertEquals(1, Client.execute("config", "replace", "-n", node, "--base", "77", file.toString()), "lost race");
+        Files.writeString(file, "{\"revision\":8}");
+        assertEquals(1, Client.execute("config", "validate", file.toString()));
+        assertEquals(2, Client.execute("config", "replace"));
+        assertEquals(2, Client.execute());
+        assertEquals(3, Client.execute("status", "-n", "127.0.0.1:1"));
+    }
+
     @Test
     void metricsAndStatusAreServed() throws IOException {
         try (RawClient c = new RawClient(control)) {
