--- a/src/main/java/org/otterpond/cargo/Hull.java
+++ b/src/main/java/org/otterpond/cargo/Hull.java
@@ -43,6 +43,10 @@
         }
     }
 
+    long quietSince() {
+        return quietSince;
+    }
+
     /** Whether it has had work for so long without giving any answer that others are better tried first. */
     boolean suspect(long now) {
         return inFlight > 0 && now - quietSince > SUSPECT_AFTER;
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -400,7 +400,7 @@
         }
         p.attempts++;
         p.tried.add(h.id());
-        Attempt attempt = new Attempt(h);
+        Attempt attempt = new Attempt(h, now);
         p.open.add(attempt);
         h.took(now);
         tally.forwarded.increment();
@@ -428,10 +428,13 @@
         return (r.aimMicros() > 0 ? r.aimMicros() : DEFAULT_AIM) * 11 / 20;
     }
 
-    /** A repeatable request that has waited for most of its aim is tried beside itself, if the budget allows. */
+    /**
+     * A repeatable request that has waited for most of its aim, at a worker that answers nothing, is tried beside
+     * itself, if the budget allows. A worker that answers others is only busy, and more load would not help.
+     */
     private void hedge(Passage p) {
         long now = Quay.now();
-        if (p.finished || p.open.size() != 1 || p.attempts >= p.route.maxAttempts()
+        if (p.finished || p.open.size() != 1 || !p.open.get(0).silent() || p.attempts >= p.route.maxAttempts()
                 || p.deadline() - now < hedgeAfter(p.route) / 2 || p.fairway.pick(now, p.tried) == null
                 || !p.fairway.purse.spend()) {
             return;
