--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -425,7 +425,7 @@
     }
 
     private static long hedgeAfter(Route r) {
-        return (r.aimMicros() > 0 ? r.aimMicros() : DEFAULT_AIM) * 11 / 20;
+        return (r.aimMicros() > 0 ? r.aimMicros() : DEFAULT_AIM) * 9 / 10;
     }
 
     /**
