--- a/src/main/java/org/otterpond/drill/Rehearsal.java
+++ b/src/main/java/org/otterpond/drill/Rehearsal.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -20,15 +22,24 @@
  */
 public final class Rehearsal {
     private static final String HOST = "127.0.0.1";
-    private static final int FRONT = 18_548;
-    private static final int READY = 18_542;
-    private static final int CONTROL = 18_544;
-    private static final int INTERNAL = 18_540;
-    private static final int WORKER = 18_560;
+    private static final int FRONT = freePort();
+    private static final int READY = freePort();
+    private static final int CONTROL = freePort();
+    private static final int INTERNAL = freePort();
+    private static final int WORKER = freePort();
     private static final long PATIENCE_MILLIS = 20_000;
 
     private Rehearsal() {}
 
+    /** Several rehearsals may run on one machine. */
+    private static int freePort() {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return s.getLocalPort();
+        } catch (IOException e) {
+            throw new IllegalStateException("no free port", e);
+        }
+    }
+
     public static int run() {
         try {
             Path folder = Files.createTempDirectory("otterpond-rehearsal");
