--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -1,7 +1,9 @@
 package org.otterpond.cargo;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -52,6 +54,8 @@
     private static final long SAMPLE = 20_000;
     private static final long WAIT_CHECK = 10_000;
     private static final long BUSY_AGAIN = 50_000;
+    private static final long CLAIM_LEAST = 50_000;
+    private static final long PARK_MOST = 600_000;
     private static final long FETCH = 400_000;
     private static final long LEAST_LEFT = 5_000;
     private static final int SMALL_FLEET = 8;
@@ -65,6 +69,7 @@
     private final long life;
     private final Tally tally;
     private final Locker locker;
+    private final Set<Call> parked = new LinkedHashSet<>();
     private final Map<String, Double> nodeShares = new HashMap<>();
 
     private Configuration configuration;
@@ -119,6 +124,10 @@
     @Override
     public void configured(Configuration c) {
         configuration = c;
+        List<Call> calls = new ArrayList<>(parked);
+        parked.clear();
+        // After the workers that came in the same news.
+        quay.after(0, () -> calls.forEach(this::handle));
     }
 
     @Override
@@ -200,11 +209,11 @@
     public void handle(Call call) {
         Missive r = call.request();
         long now = Quay.now();
-        tally.requests.increment();
         if (configuration == null) {
-            call.answer(Replies.unavailable("no configuration yet", 0.3));
+            park(call);
             return;
         }
+        tally.requests.increment();
         String host = r.first("Host");
         Route route = host == null ? null : configuration.route(host, r.path());
         if (route == null) {
@@ -249,6 +258,23 @@
         }
     }
 
+    /** A node that has just started has its configuration in a moment; what comes before waits a part of its time. */
+    private void park(Call call) {
+        parked.add(call);
+        String told = call.request().first(TIME_LEFT);
+        long left = DEFAULT_AIM;
+        try {
+            left = told == null ? left : (long) (1000 * Double.parseDouble(told.trim()));
+        } catch (NumberFormatException e) {
+            left = 0;
+        }
+        quay.after(Math.min(PARK_MOST, left * 3 / 10), () -> {
+            if (parked.remove(call)) {
+                call.answer(Replies.unavailable("no configuration yet", 0.3));
+            }
+        });
+    }
+
     private double purseCap() {
         return settings.retrySlack() / (2.0 * Math.max(nodes, SMALL_FLEET));
     }
@@ -289,7 +315,7 @@
 
     private void claim(Passage p) {
         // Longer than a worker is waited for: while the core changes hands, the answer comes within about a second.
-        long wait = Math.max(LEAST_LEFT, (p.deadline() - Quay.now()) * 2 / 5);
+        long wait = node.outOfTouch() ? CLAIM_LEAST : Math.max(LEAST_LEFT, (p.deadline() - Quay.now()) * 2 / 5);
         Flag ask = new Flag("ask").with("op", "claim").with("key", p.key).with("token", p.token);
         p.claimAsk = node.ask(ask, wait, 200_000, r -> claimed(p, r));
     }
@@ -304,8 +330,9 @@
         if (r == null) {
             free(p);
             tally.refused.increment();
-            finishNotRun(p, Replies.unavailable("the key could not be claimed in time",
-                    Math.max(0.05, (p.deadline() - Quay.now()) / 3.5e6)));
+            // A node that is cut off sends the client to another at once; else the core is about to be back.
+            double later = node.outOfTouch() ? CLAIM_LEAST / 1e6 : Math.max(0.05, (p.deadline() - Quay.now()) / 3.5e6);
+            finishNotRun(p, Replies.unavailable("the key could not be claimed in time", later));
         } else if (r.truth("granted")) {
             dispatch(p);
         } else if (r.has("holder")) {
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -20,6 +20,7 @@
 public final class HarbourNode implements WatchListener {
     private static final long HELLO = 250_000;
     private static final long POLL_LOST = 1_300_000;
+    private static final long OUT_OF_TOUCH = 1_700_000;
     private static final long TOMBSTONE = 30_000_000;
     private static final long BEAT_BATCH = 250_000;
     public static final long TICK = 100_000;
@@ -46,6 +47,8 @@
     private long pollNumber;
     private long polledAt;
     private boolean polling;
+    private boolean seeking;
+    private long heardPrimary;
     private String polled;
 
     private final Map<Long, Ask> asks = new LinkedHashMap<>();
@@ -110,8 +113,8 @@
             helm.tick();
         }
         boolean lost = polling && now - polledAt > POLL_LOST;
-        if (known == null || lost) {
-            hello(now, lost);
+        if (known == null || lost || seeking) {
+            hello(now, known != null);
         }
         if (known != null && (!polling || lost)) {
             poll();
@@ -225,6 +228,8 @@
             return;
         }
         polling = false;
+        seeking = false;
+        heardPrimary = deck.now();
         if (f.has("record")) {
             learnRecord(EpochRecord.of(f.flag("record")));
             List<String> zones = new ArrayList<>();
@@ -384,11 +389,23 @@
         }
     }
 
-    /** The connection to another node was closed from there: its process has probably ended. */
-    public void peerClosed(String address) {
-        if (watch != null) {
+    /**
+     * The connection to another node was closed from there, or never came up: its process has probably ended, and
+     * what was sent to it last is lost.
+     */
+    public void peerLost(String address, boolean neverUp) {
+        if (watch != null && !neverUp) {
             watch.peerClosed(address);
         }
+        if (polling && address.equals(polled)) {
+            polling = false;
+            seeking = true;
+        }
+    }
+
+    /** Whether the primary has been silent for longer than a takeover should last: this node is likely cut off. */
+    public boolean outOfTouch() {
+        return deck.now() - heardPrimary > OUT_OF_TOUCH;
     }
 
     // -------------------------------------------------------------- messages
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -71,7 +71,7 @@
                         settings.initialStart(), settings.seedAddresses(), life),
                 shore, settings.heartbeatMicros(), settings.keyWindowMicros()), life, tally);
         HarbourNode node = pilotage.node();
-        Links links = new Links(quay, settings.internalAddress(), node::onMessage, node::peerClosed);
+        Links links = new Links(quay, settings.internalAddress(), node::onMessage, node::peerLost);
         deck.fit(links, logbook == null ? null : new Purser(quay, logbook, id, node::journalBase));
         if (!journal.isEmpty()) {
             node.replay(journal.subList(1, journal.size()));
--- a/src/main/java/org/otterpond/quay/Links.java
+++ b/src/main/java/org/otterpond/quay/Links.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.FlagCodec;
 import org.slf4j.Logger;
@@ -26,15 +25,15 @@
     private final Quay quay;
     private final String self;
     private final BiConsumer<String, Flag> receiver;
-    private final Consumer<String> closedByPeer;
+    private final BiConsumer<String, Boolean> lost;
     private final ServerSocketChannel server;
     private final Map<String, Link> links = new HashMap<>();
     private final List<Link> all = new ArrayList<>();
     private final Map<String, Long> failedAt = new HashMap<>();
 
-    public Links(Quay quay, String self, BiConsumer<String, Flag> receiver, Consumer<String> closedByPeer)
+    public Links(Quay quay, String self, BiConsumer<String, Flag> receiver, BiConsumer<String, Boolean> lost)
             throws IOException {
-        this.closedByPeer = closedByPeer;
+        this.lost = lost;
         this.quay = quay;
         this.self = self;
         this.receiver = receiver;
@@ -101,8 +100,8 @@
         all.remove(l);
         if (l.peer() != null) {
             boolean current = links.remove(l.peer(), l);
-            if (current && byPeer) {
-                closedByPeer.accept(l.peer());
+            if (current && (byPeer || neverUp)) {
+                lost.accept(l.peer(), neverUp);
             }
             if (neverUp) {
                 failedAt.put(l.peer(), Quay.now());
--- a/src/test/java/org/otterpond/sim/FleetFaultsTest.java
+++ b/src/test/java/org/otterpond/sim/FleetFaultsTest.java
@@ -129,6 +129,27 @@
         }
     }
 
+    @Test
+    void nodesServeAgainWithinASecondOfTheLastStartAfterAllProcessesWereKilled() {
+        for (long seed = 81; seed <= 90; seed++) {
+            SimFleet f = founded(seed);
+            f.all.get(4).node.beat(f.worker("w1", VesselState.IN_SERVICE, 1), ok -> { });
+            f.change(() -> { });
+            f.world.run(2 * S);
+            f.all.forEach(SimNode::kill);
+            f.world.run(800_000);
+            // Those without a disk are up first, and poll a primary that does not listen yet.
+            f.all.forEach(n -> f.world.at(n.disk == null ? f.world.random.nextInt(50_000)
+                    : 100_000 + f.world.random.nextInt(100_000), n::start));
+            f.world.run(900_000);
+            for (SimNode n : f.all) {
+                assertTrue(n.node.revision() > 0, () -> n.address + " has no configuration\n" + f.tail());
+                assertEquals(VesselState.IN_SERVICE, n.workers.get("w1").state(), n.address);
+            }
+            settles(f, 3 * S);
+        }
+    }
+
     @Test
     void coreComesBackWhenAllPowerIsLost() {
         for (long seed = 41; seed <= 48; seed++) {
--- a/src/test/java/org/otterpond/sim/SimNode.java
+++ b/src/test/java/org/otterpond/sim/SimNode.java
@@ -25,6 +25,7 @@
     HarbourNode node;
     final Map<String, Vessel> workers = new HashMap<>();
     private boolean frozen;
+    private boolean dark;
     private final List<Runnable> frozenTasks = new ArrayList<>();
 
     SimNode(SimWorld world, Checker checker, String address, boolean withDisk, List<String> seeds) {
@@ -39,6 +40,18 @@
         return node != null;
     }
 
+    /** Whether the machine runs but no process listens: a connection is refused, so the sender knows. */
+    boolean refuses() {
+        return node == null && !dark;
+    }
+
+    void peerLost(String address) {
+        if (node != null) {
+            SimDeck d = deck;
+            d.perform(() -> node.peerLost(address, true));
+        }
+    }
+
     boolean leading() {
         return node != null && !frozen && node.leading();
     }
@@ -47,6 +60,7 @@
         if (node != null) {
             return;
         }
+        dark = false;
         deck = new SimDeck();
         workers.clear();
         long life = world.random.nextLong() >>> 1;
@@ -80,6 +94,7 @@
     }
 
     void losePower() {
+        dark = true;
         if (disk != null) {
             disk.losePower();
         }
--- a/src/test/java/org/otterpond/sim/SimWorld.java
+++ b/src/test/java/org/otterpond/sim/SimWorld.java
@@ -82,7 +82,9 @@
         }
         at(at - now, () -> {
             SimNode n = nodes.get(to);
-            if (n != null && !cuts.contains(way)) {
+            if (n != null && !cuts.contains(way) && n.refuses()) {
+                nodes.get(from).peerLost(to);
+            } else if (n != null && !cuts.contains(way)) {
                 try {
                     n.deliver(from, FlagCodec.decode(bytes, 0, bytes.length));
                 } catch (SignalException e) {
