--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -70,6 +70,7 @@
         boolean local;
         boolean remote;
         long sentAt;
+        long madeAt;
     }
 
     private static final class Candidacy {
@@ -255,8 +256,11 @@
     }
 
     private void tickPrimary(long now) {
-        if (record.backup() != null && now - backupHeard > times.backupSilence()) {
-            deck.event("event=backup_lost epoch=" + record.epoch() + " backup=" + record.backup().name());
+        boolean stuck = !batches.isEmpty() && !batches.firstEntry().getValue().remote
+                && now - batches.firstEntry().getValue().madeAt > times.diskStall();
+        if (record.backup() != null && (stuck || now - backupHeard > times.backupSilence())) {
+            deck.event("event=backup_lost epoch=" + record.epoch() + " backup=" + record.backup().name()
+                    + " why=" + (stuck ? "no_sync" : "silence"));
             excludedBackup = record.backup().diskId();
             run(record.members());
             return;
@@ -314,6 +318,7 @@
     private Batch journalOpen(long n) {
         Batch b = open;
         open = null;
+        b.madeAt = deck.now();
         batches.put(n, b);
         long epoch = record.epoch();
         Consumer<Boolean> last = ok -> {
@@ -893,15 +898,32 @@
         }
     }
 
-    /** Tries the disk until it takes a record again; only then does this node vote or serve. */
+    /**
+     * Tries the disk until it takes everything that memory holds: what failed to be written may have been followed by
+     * records that were, so nothing less than the whole makes the journal stand for this node again.
+     */
     private void probeDisk() {
-        deck.after(500_000, () -> write(new Flag("promise").with("epoch", promised), ok -> {
-            if (ok) {
-                diskBad = false;
-                deck.event("event=disk_recovered");
-            } else {
-                probeDisk();
+        deck.after(500_000, () -> {
+            List<Flag> all = journalBase();
+            boolean[] good = {true};
+            for (int i = 0; i < all.size(); i++) {
+                boolean last = i == all.size() - 1;
+                write(all.get(i), ok -> {
+                    good[0] &= ok;
+                    if (last) {
+                        probed(good[0]);
+                    }
+                });
             }
-        }));
+        });
+    }
+
+    private void probed(boolean good) {
+        if (good) {
+            diskBad = false;
+            deck.event("event=disk_recovered");
+        } else {
+            probeDisk();
+        }
     }
 }
--- a/src/test/java/org/otterpond/sim/FleetFaultsTest.java
+++ b/src/test/java/org/otterpond/sim/FleetFaultsTest.java
@@ -150,6 +150,26 @@
         }
     }
 
+    @Test
+    void stalledDiskOfEitherOfThePairIsReplacedWhileItsProcessStillAnswers() {
+        for (boolean ofPrimary : new boolean[] {true, false}) {
+            SimFleet f = founded(ofPrimary ? 91 : 92);
+            f.callers();
+            f.world.run(2 * S);
+            SimNode leader = f.leader();
+            String backup = leader.node.known().backup().address();
+            SimNode stalled = ofPrimary ? leader : f.world.nodes.get(backup);
+            stalled.disk.stalled = true;
+            f.world.run(2 * S);
+            int before = f.checker.grants;
+            f.world.run(S);
+            assertTrue(f.checker.grants > before + 10, () -> "claims wait for a stalled disk\n" + f.tail());
+            assertFalse(f.leader().node.known().inPair(stalled.disk.id));
+            stalled.disk.stalled = false;
+            settles(f, 5 * S);
+        }
+    }
+
     @Test
     void coreComesBackWhenAllPowerIsLost() {
         for (long seed = 41; seed <= 48; seed++) {
