--- a/src/main/java/org/otterpond/cargo/Fairway.java
+++ b/src/main/java/org/otterpond/cargo/Fairway.java
@@ -162,10 +162,6 @@
         return Math.max(1, h.vessel.slots()) * 2;
     }
 
-    boolean empty() {
-        return hulls.values().stream().noneMatch(h -> h.vessel.state() == VesselState.IN_SERVICE);
-    }
-
     /** One sample for the detector, and what follows from its verdict. Returns a line for the log, or null. */
     String observe(long now) {
         Map<String, Double> loads = new HashMap<>();
@@ -197,10 +193,6 @@
         return line;
     }
 
-    String flagged() {
-        return flagged;
-    }
-
     List<Passage> takeExpired(long now) {
         List<Passage> out = new ArrayList<>();
         for (Passage p : new ArrayList<>(waiting)) {
--- a/src/main/java/org/otterpond/cargo/Passage.java
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -21,7 +21,6 @@
     int attempts;
     String key;
     String token;
-    long claimAsk;
     final List<Attempt> open = new ArrayList<>();
     Quay.Timer timer;
     Quay.Timer hedge;
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -225,15 +225,12 @@
             call.answer(Replies.problem(400, ATTEMPT_ID + ": missing"));
             return;
         }
-        long left = route.guardMicros();
-        String told = r.first(TIME_LEFT);
-        if (told != null) {
-            try {
-                left = Math.min(left, (long) (1000 * Double.parseDouble(told.trim())));
-            } catch (NumberFormatException e) {
-                call.answer(Replies.problem(400, TIME_LEFT + ": a number of milliseconds is wanted"));
-                return;
-            }
+        long left;
+        try {
+            left = Math.min(route.guardMicros(), timeLeft(r, route.guardMicros()));
+        } catch (NumberFormatException e) {
+            call.answer(Replies.problem(400, TIME_LEFT + ": a number of milliseconds is wanted"));
+            return;
         }
         long aim = route.aimMicros() > 0 ? route.aimMicros() : DEFAULT_AIM;
         long refuse = Math.min(aim / 4 - 10_000, left / 2);
@@ -261,12 +258,11 @@
     /** A node that has just started has its configuration in a moment; what comes before waits a part of its time. */
     private void park(Call call) {
         parked.add(call);
-        String told = call.request().first(TIME_LEFT);
-        long left = DEFAULT_AIM;
+        long left = 0;
         try {
-            left = told == null ? left : (long) (1000 * Double.parseDouble(told.trim()));
+            left = timeLeft(call.request(), DEFAULT_AIM);
         } catch (NumberFormatException e) {
-            left = 0;
+            // Refused at once: nothing says how long it may be kept.
         }
         quay.after(Math.min(PARK_MOST, left * 3 / 10), () -> {
             if (parked.remove(call)) {
@@ -275,6 +271,12 @@
         });
     }
 
+    /** How long the client says that it will wait, in microseconds. */
+    private static long timeLeft(Missive r, long otherwise) {
+        String told = r.first(TIME_LEFT);
+        return told == null ? otherwise : (long) (1000 * Double.parseDouble(told.trim()));
+    }
+
     private double purseCap() {
         return settings.retrySlack() / (2.0 * Math.max(nodes, SMALL_FLEET));
     }
@@ -317,7 +319,7 @@
         // Longer than a worker is waited for: while the core changes hands, the answer comes within about a second.
         long wait = node.outOfTouch() ? CLAIM_LEAST : Math.max(LEAST_LEFT, (p.deadline() - Quay.now()) * 2 / 5);
         Flag ask = new Flag("ask").with("op", "claim").with("key", p.key).with("token", p.token);
-        p.claimAsk = node.ask(ask, wait, 200_000, r -> claimed(p, r));
+        node.ask(ask, wait, 200_000, r -> claimed(p, r));
     }
 
     private void claimed(Passage p, Flag r) {
@@ -353,7 +355,7 @@
     /** Another try of the same operation is at work: ask again for its outcome. */
     private void awaitOther(Passage p) {
         Flag ask = new Flag("ask").with("op", "claim").with("key", p.key).with("token", p.token);
-        p.claimAsk = node.ask(ask, Math.max(20_000, (p.deadline() - Quay.now()) / 2), 200_000, r -> claimed(p, r));
+        node.ask(ask, Math.max(20_000, (p.deadline() - Quay.now()) / 2), 200_000, r -> claimed(p, r));
     }
 
     private void replayFrom(Passage p, String holder, String run) {
@@ -671,11 +673,4 @@
             }
         });
     }
-
-    /** For the status page: the services and how many workers each has here. */
-    public Map<String, Integer> workersByService() {
-        Map<String, Integer> out = new java.util.TreeMap<>();
-        fairways.forEach((n, f) -> out.put(n, f.hulls.size()));
-        return out;
-    }
 }
--- a/src/main/java/org/otterpond/drill/StandInWorker.java
+++ b/src/main/java/org/otterpond/drill/StandInWorker.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import org.otterpond.chart.Limits;
 import org.otterpond.quay.Call;
 import org.otterpond.quay.CallHandler;
 import org.otterpond.quay.FrontDoor;
@@ -33,14 +32,4 @@
                 .header("X-Otterpond-Server-Seal", id + "." + served).header("Content-Type", "text/plain")
                 .body(("served " + r.target() + "\n").getBytes(StandardCharsets.UTF_8)));
     }
-
-    @Override
-    public Limits limits() {
-        return Limits.standard();
-    }
-
-    @Override
-    public boolean leaving() {
-        return false;
-    }
 }
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -240,26 +240,26 @@
             shore.nodes(zones);
         }
         toldEpoch = f.number("epoch");
-        boolean configKept = takeConfiguration(f);
+        takeConfiguration(f);
         long now = deck.now();
         f.flags("table").forEach(v -> takeVessel(Vessel.of(v, now)));
         tableVersion = f.number("ver");
         tableEpoch = f.number("epoch");
-        if (configKept && !polling) {
+        if (!polling) {
             poll();
         }
     }
 
-    /** Takes a newer configuration; false if it must be asked for whole. */
-    private boolean takeConfiguration(Flag f) {
+    /** Takes a newer configuration; a change to another base is passed over, the next poll says what is held. */
+    private void takeConfiguration(Flag f) {
         if (f.number("cfg") <= revision) {
-            return true;
+            return;
         }
         try {
             JsonObject next;
             if (f.has("change")) {
                 if (f.number("base") != revision) {
-                    return true;
+                    return;
                 }
                 next = ConfigurationReader.modify(configuration, Fields.parse(f.text("change")));
             } else {
@@ -272,7 +272,6 @@
         } catch (ChartException e) {
             deck.event("event=configuration_unreadable revision=" + f.number("cfg") + " cause=" + e.getMessage());
         }
-        return true;
     }
 
     private void takeVessel(Vessel news) {
@@ -292,10 +291,6 @@
         }
     }
 
-    public boolean configured() {
-        return revision > 0;
-    }
-
     public EpochRecord known() {
         return known;
     }
@@ -344,8 +339,8 @@
     // ------------------------------------------------------------------ asks
 
     /** Asks the primary, wherever the duty goes, until the time-out; null means no clear answer. */
-    public long ask(Flag f, long timeout, long resend, Consumer<Flag> answer) {
-        return ask(null, f, timeout, resend, answer);
+    public void ask(Flag f, long timeout, long resend, Consumer<Flag> answer) {
+        ask(null, f, timeout, resend, answer);
     }
 
     /** Asks another node for the answer that it keeps of a run; null if it has none or does not say. */
@@ -354,7 +349,7 @@
                 r -> answer.accept(r == null ? null : r.flag("answer")));
     }
 
-    private long ask(String to, Flag f, long timeout, long resend, Consumer<Flag> answer) {
+    private void ask(String to, Flag f, long timeout, long resend, Consumer<Flag> answer) {
         Ask a = new Ask();
         a.node = to;
         long id = ++askNumber;
@@ -369,7 +364,6 @@
                 late.answer.accept(null);
             }
         });
-        return id;
     }
 
     private void sendAsk(Ask a) {
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -60,7 +60,6 @@
 
     private static final class PendingWrite {
         String digest;
-        long revision;
         final List<Consumer<Flag>> replies = new ArrayList<>();
     }
 
@@ -464,7 +463,6 @@
         }
         PendingWrite w = new PendingWrite();
         w.digest = digest;
-        w.revision = revision;
         w.replies.add(reply);
         writing = w;
         String full = whole.toString();
--- a/src/main/java/org/otterpond/harbour/Register.java
+++ b/src/main/java/org/otterpond/harbour/Register.java
@@ -115,8 +115,4 @@
         }
         return out;
     }
-
-    int size() {
-        return entries.size();
-    }
 }
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -85,7 +85,6 @@
         Berth backup;
         final Map<String, EpochRecord> promises = new HashMap<>();
         final Set<String> accepts = new HashSet<>();
-        Flag snapshot;
     }
 
     public Watch(Deck deck, WatchTimes times, WatchListener listener, Berth self, Hold hold) {
@@ -158,10 +157,6 @@
         return committedText;
     }
 
-    public boolean isMember() {
-        return known != null && known.hasMember(self.diskId());
-    }
-
     /** Takes the founding record, decided by the seeds. Only a blank disk of the first start may. */
     public void found(EpochRecord first) {
         if (record != null || promised > 0) {
@@ -535,9 +530,8 @@
             propose(c);
             return;
         }
-        c.snapshot = hold.snapshot();
         deck.send(peer.address(), new Flag("snap").with("epoch", c.epoch).with("to", peer.diskId())
-                .with("state", c.snapshot).with("from", self.address()));
+                .with("state", hold.snapshot()).with("from", self.address()));
     }
 
     private void propose(Candidacy c) {
--- a/src/main/java/org/otterpond/keel/HarbourOffice.java
+++ b/src/main/java/org/otterpond/keel/HarbourOffice.java
@@ -42,11 +42,6 @@
         return LIMITS;
     }
 
-    @Override
-    public boolean leaving() {
-        return false;
-    }
-
     @Override
     public void handle(Call call) {
         Missive r = call.request();
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -7,7 +7,6 @@
 import org.otterpond.cargo.Pilotage;
 import org.otterpond.cargo.Tally;
 import org.otterpond.chart.ChartException;
-import org.otterpond.chart.Limits;
 import org.otterpond.chart.Settings;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.NodeIdentity;
@@ -131,16 +130,6 @@
                 call.answer(Replies.json(503, "{\"ready\":false}"));
             }
         }
-
-        @Override
-        public Limits limits() {
-            return Limits.standard();
-        }
-
-        @Override
-        public boolean leaving() {
-            return false;
-        }
     }
 
     // -------------------------------------------------------------- settings
--- a/src/main/java/org/otterpond/quay/CallHandler.java
+++ b/src/main/java/org/otterpond/quay/CallHandler.java
@@ -6,8 +6,12 @@
 public interface CallHandler {
     void handle(Call call);
 
-    Limits limits();
+    default Limits limits() {
+        return Limits.standard();
+    }
 
     /** Whether answers should ask clients to go elsewhere. */
-    boolean leaving();
+    default boolean leaving() {
+        return false;
+    }
 }
--- a/src/main/java/org/otterpond/quay/Gangway.java
+++ b/src/main/java/org/otterpond/quay/Gangway.java
@@ -30,7 +30,6 @@
     private boolean closed;
     private long since;
     private long firstByteAt;
-    private int served;
 
     Gangway(Quay quay, CallHandler handler, FrontDoor door, SocketChannel channel) throws IOException {
         this.quay = quay;
@@ -137,7 +136,6 @@
             boolean body = !headCall;
             String connection = last ? "close" : of.request().old() ? "keep-alive" : null;
             out.add(OutBuffer.encode(response, body, connection));
-            served++;
             call = null;
             since = Quay.now();
             flush();
