--- a/src/main/java/org/otterpond/quay/Link.java
+++ b/src/main/java/org/otterpond/quay/Link.java
@@ -95,11 +95,7 @@
     }
 
     private void flush() throws IOException {
-        boolean all = out.flush(channel, quay.scratch());
-        int want = SelectionKey.OP_READ | (all ? 0 : SelectionKey.OP_WRITE);
-        if (key.interestOps() != want) {
-            key.interestOps(want);
-        }
+        out.flush(channel, key, quay.scratch());
     }
 
     @Override
--- a/src/main/java/org/otterpond/quay/OutBuffer.java
+++ b/src/main/java/org/otterpond/quay/OutBuffer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -67,6 +68,14 @@
         return true;
     }
 
+    /** The same for a connection that is always read: it waits to write on only while something is left. */
+    void flush(SocketChannel channel, SelectionKey key, ByteBuffer scratch) throws IOException {
+        int want = SelectionKey.OP_READ | (flush(channel, scratch) ? 0 : SelectionKey.OP_WRITE);
+        if (key.interestOps() != want) {
+            key.interestOps(want);
+        }
+    }
+
     /** Head and body as one run of bytes; the body's length is said here, whatever the headers hold. */
     static byte[] encode(Missive m, boolean withBody, String connection) {
         StringBuilder s = new StringBuilder(256);
--- a/src/main/java/org/otterpond/quay/Tender.java
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -78,11 +78,7 @@
     }
 
     private void flush() throws IOException {
-        boolean all = out.flush(channel, quay.scratch());
-        int want = SelectionKey.OP_READ | (all ? 0 : SelectionKey.OP_WRITE);
-        if (key.interestOps() != want) {
-            key.interestOps(want);
-        }
+        out.flush(channel, key, quay.scratch());
     }
 
     @Override
