--- a/src/main/java/org/otterpond/cargo/Fairway.java
+++ b/src/main/java/org/otterpond/cargo/Fairway.java
@@ -1,6 +1,8 @@
 package org.otterpond.cargo;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,6 +23,7 @@
     private static final double EJECTED_WEIGHT = 0.25;
     private static final long EJECT_SPAN = 5_000_000;
     private static final double WARMING_WEIGHT = 0.5;
+    private static final int NEAR = 10;
 
     final String name;
     final Map<String, Hull> hulls = new LinkedHashMap<>();
@@ -35,10 +38,11 @@
     private Hull ejected;
     private long ejectedUntil;
     private String flagged;
-    private String ownZone = "";
-    private Map<String, Double> shares = Map.of();
-    private int nodes = 1;
+    private Berths berths = Berths.alone("");
+    private boolean stale = true;
     private final Map<String, Double> zoneWeights = new TreeMap<>();
+    private final Map<String, List<Hull>> nearByZone = new HashMap<>();
+    private int fairPart = 1;
 
     Fairway(String name, Random random, boolean eject) {
         this.name = name;
@@ -46,48 +50,82 @@
         this.eject = eject;
     }
 
-    /** What share of requests this node sends to each zone's workers, by slots and by where the nodes stand. */
-    void zones(String own, Map<String, Double> nodeShares, int nodeCount) {
-        ownZone = own;
-        nodes = nodeCount;
-        shares = Map.copyOf(nodeShares);
-        arrange();
+    /** The nodes have come, gone or moved up. */
+    void berths(Berths now) {
+        berths = now;
+        stale = true;
     }
 
     /** To be called when workers have come, gone or changed. */
-    void arrange() {
+    void changed() {
+        stale = true;
+    }
+
+    /** Settles what share of requests this node sends to each zone, and to which of its workers first. */
+    private void arrange() {
+        if (!stale) {
+            return;
+        }
+        stale = false;
+        Map<String, List<Hull>> byZone = new TreeMap<>();
         Map<String, Double> slots = new TreeMap<>();
         double total = 0;
         for (Hull h : hulls.values()) {
             if (h.vessel.state() == VesselState.IN_SERVICE) {
-                slots.merge(h.vessel.zone(), (double) Math.max(1, h.vessel.slots()), Double::sum);
-                total += Math.max(1, h.vessel.slots());
+                byZone.computeIfAbsent(h.vessel.zone(), z -> new ArrayList<>()).add(h);
+                slots.merge(h.vessel.zone(), (double) slots(h), Double::sum);
+                total += slots(h);
             }
         }
+        nearByZone.clear();
+        byZone.forEach((zone, all) -> nearByZone.put(zone, near(all)));
+        double ownSlots = slots.getOrDefault(berths.zone(), 0.0);
+        // This node's part of its zone's slots, spread over the workers it sends to there.
+        int spread = Math.max(1, nearByZone.getOrDefault(berths.zone(), List.of()).size());
+        fairPart = Math.max(1, (int) Math.ceil(ownSlots / berths.nodesHere() / spread));
         zoneWeights.clear();
-        double here = shares.getOrDefault(ownZone, 0.0);
+        double here = berths.share(berths.zone());
         if (total == 0 || here <= 0) {
             return;
         }
         // Own zone first, as far as its part of the slots covers its part of the traffic; the rest goes to the zones
         // with more slots than traffic, by how much more.
-        double local = Math.min(1, slots.getOrDefault(ownZone, 0.0) / total / here);
+        double local = Math.min(1, ownSlots / total / here);
         double spare = 0;
         for (Map.Entry<String, Double> e : slots.entrySet()) {
-            spare += Math.max(0, e.getValue() / total - shares.getOrDefault(e.getKey(), 0.0));
+            spare += Math.max(0, e.getValue() / total - berths.share(e.getKey()));
         }
         if (spare <= 0 && local < 1) {
             return;
         }
         for (Map.Entry<String, Double> e : slots.entrySet()) {
-            double over = Math.max(0, e.getValue() / total - shares.getOrDefault(e.getKey(), 0.0));
-            double w = e.getKey().equals(ownZone) ? local : (1 - local) * over / spare;
+            double over = Math.max(0, e.getValue() / total - berths.share(e.getKey()));
+            double w = e.getKey().equals(berths.zone()) ? local : (1 - local) * over / spare;
             if (w > 0) {
                 zoneWeights.put(e.getKey(), w);
             }
         }
     }
 
+    /**
+     * The workers of one zone that this node sends to first. They stand in a ring, and the nodes of a zone begin at
+     * even distances, each taking as many: so every worker has about as many nodes, and each node few enough workers
+     * that its own count of requests in flight says something about them.
+     */
+    private List<Hull> near(List<Hull> all) {
+        all.sort(Comparator.comparing(Hull::id));
+        List<Hull> out = new ArrayList<>();
+        int from = (int) ((long) berths.rank() * all.size() / berths.nodesHere());
+        for (int i = 0; i < Math.min(NEAR, all.size()); i++) {
+            out.add(all.get((from + i) % all.size()));
+        }
+        return out;
+    }
+
+    private static int slots(Hull h) {
+        return Math.max(1, h.vessel.slots());
+    }
+
     private String drawZone() {
         double d = random.nextDouble();
         for (Map.Entry<String, Double> e : zoneWeights.entrySet()) {
@@ -96,7 +134,7 @@
                 return e.getKey();
             }
         }
-        return ownZone;
+        return berths.zone();
     }
 
     /**
@@ -104,12 +142,13 @@
      * random; of all zones, where that one has none free of this node's requests but another has.
      */
     Hull pick(long now, Set<String> tried) {
+        arrange();
         if (!zoneWeights.isEmpty()) {
-            Hull near = pickFrom(now, tried, true, drawZone());
-            if (near != null && near.inFlight < fairPart(near)) {
+            Hull near = pickFrom(now, tried, true, nearByZone.getOrDefault(drawZone(), List.of()));
+            if (near != null && near.inFlight < fairPart) {
                 return near;
             }
-            Hull any = pickFrom(now, tried, true, null);
+            Hull any = pickFrom(now, tried, true, hulls.values());
             if (near != null && (any == null || load(near, now) - load(any, now) < 1)) {
                 return near;
             }
@@ -117,18 +156,17 @@
                 return any;
             }
         }
-        Hull best = pickFrom(now, tried, true, null);
-        return best != null ? best : pickFrom(now, tried, false, null);
+        Hull best = pickFrom(now, tried, true, hulls.values());
+        return best != null ? best : pickFrom(now, tried, false, hulls.values());
     }
 
-    private Hull pickFrom(long now, Set<String> tried, boolean heedShunning, String zone) {
+    private Hull pickFrom(long now, Set<String> tried, boolean heedShunning, Collection<Hull> from) {
         Hull best = null;
         double bestLoad = Double.MAX_VALUE;
         int ties = 0;
-        for (Hull h : hulls.values()) {
+        for (Hull h : from) {
             if (h.vessel.state() != VesselState.IN_SERVICE || tried.contains(h.id())
-                    || (heedShunning && (h.shunUntil > now || h.suspect(now))) || h.inFlight >= bound(h)
-                    || (zone != null && !zone.equals(h.vessel.zone()))) {
+                    || (heedShunning && (h.shunUntil > now || h.suspect(now))) || h.inFlight >= bound(h)) {
                 continue;
             }
             double load = load(h, now);
@@ -153,23 +191,18 @@
         return h.weight * (h.vessel.warmUntil() > now ? WARMING_WEIGHT : 1.0);
     }
 
-    /** A worker's slots shared out over the nodes of this zone. */
-    private int fairPart(Hull h) {
-        return Math.max(1, (int) Math.ceil(h.vessel.slots() / Math.max(1, shares.getOrDefault(ownZone, 0.0) * nodes)));
-    }
-
     private static int bound(Hull h) {
-        return Math.max(1, h.vessel.slots()) * 2;
+        return slots(h) * 2;
     }
 
     /** One sample for the detector, and what follows from its verdict. Returns a line for the log, or null. */
     String observe(long now) {
+        arrange();
         Map<String, Double> loads = new HashMap<>();
-        for (Hull h : hulls.values()) {
-            if (h.vessel.state() == VesselState.IN_SERVICE && h.vessel.warmUntil() <= now
-                    && (zoneWeights.isEmpty() || h.vessel.zone().equals(ownZone))) {
-                // Zones are drawn by fixed weights and least outstanding rules within one, so the statistic is
-                // taken over the zone that gets most of this node's requests.
+        for (Hull h : nearByZone.getOrDefault(berths.zone(), List.of())) {
+            if (h.vessel.state() == VesselState.IN_SERVICE && h.vessel.warmUntil() <= now) {
+                // Zones are drawn by fixed weights and least outstanding rules only among the near workers of one, so
+                // the statistic is taken over those that get most of this node's requests.
                 loads.put(h.id(), h.inFlight / h.weight);
             }
         }
--- a/src/main/java/org/otterpond/cargo/Passage.java
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.otterpond.chart.Route;
 import org.otterpond.chart.RouteType;
+import org.otterpond.chart.Shipper;
 import org.otterpond.quay.Call;
 import org.otterpond.quay.Quay;
 
@@ -13,6 +14,8 @@
 final class Passage {
     final Call call;
     final Route route;
+    /** The tenant whose key came with the request; null on public routes and where there are no tenants. */
+    final Shipper shipper;
     final Fairway fairway;
     final Set<String> tried = new HashSet<>();
     private final long deadline;
@@ -25,12 +28,17 @@
     Quay.Timer timer;
     Quay.Timer hedge;
     boolean finished;
+    /** Whether the operation key is this request's. */
+    boolean claimed;
     boolean freed;
+    /** Whether a token of the tenant's quota is taken for the next run. */
+    boolean paid;
     /** True once a byte of the request may have reached a worker that has not disowned it. */
     boolean mayHaveRun;
 
-    Passage(Call call, Route route, Fairway fairway, long deadline, long refuseAt) {
+    Passage(Call call, Route route, Shipper shipper, Fairway fairway, long deadline, long refuseAt) {
         this.call = call;
+        this.shipper = shipper;
         this.route = route;
         this.fairway = fairway;
         this.deadline = deadline;
@@ -38,7 +46,12 @@
     }
 
     int priority() {
-        return route.priority();
+        return shipper == null ? route.priority() : shipper.priority();
+    }
+
+    /** Whether its runs are counted against a quota. */
+    boolean counted() {
+        return shipper != null && shipper.limited();
     }
 
     long deadline() {
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -16,10 +16,12 @@
 import org.otterpond.chart.Route;
 import org.otterpond.chart.RouteType;
 import org.otterpond.chart.Settings;
+import org.otterpond.chart.Shipper;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.Shore;
 import org.otterpond.harbour.Vessel;
 import org.otterpond.harbour.VesselState;
+import org.otterpond.harbour.WatchTimes;
 import org.otterpond.quay.Call;
 import org.otterpond.quay.CallHandler;
 import org.otterpond.quay.Links;
@@ -41,11 +43,17 @@
     static final String KEY = "X-Otterpond-Operation-Key";
     static final String SEAL = "X-Otterpond-Server-Seal";
     static final String EXPECTED = "X-Otterpond-Expected-Instance";
+    static final String TENANT = "X-Otterpond-Tenant-Id";
+    static final String AUTHORIZATION = "Authorization";
     static final String NOT_EXECUTED = "X-Otterpond-Not-Executed";
 
     private static final Set<String> HOP = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
             "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authenticate", "proxy-authorization");
 
+    /** Headers of a request that this system speaks for, whatever the client sent. */
+    private static final Set<String> OWN = Set.of(TIME_LEFT.toLowerCase(Locale.ROOT),
+            EXPECTED.toLowerCase(Locale.ROOT), TENANT.toLowerCase(Locale.ROOT));
+
     private static final long ANSWER_BOUND = 64L << 20;
     private static final long DEFAULT_AIM = 400_000;
     private static final long CONNECT = 250_000;
@@ -53,12 +61,15 @@
     private static final long SWEEP = 1_000_000;
     private static final long SAMPLE = 20_000;
     private static final long WAIT_CHECK = 10_000;
-    private static final long BUSY_AGAIN = 50_000;
     private static final long CLAIM_LEAST = 50_000;
     private static final long PARK_MOST = 600_000;
     private static final long FETCH = 400_000;
     private static final long LEAST_LEFT = 5_000;
+    private static final long LENT = WatchTimes.standard().lent() - 50_000;
+    private static final long REVOKE_MARGIN = 250_000;
     private static final int SMALL_FLEET = 8;
+    private static final String BEARER = "Bearer ";
+    private static final long WORK_ASKED_AGAIN = 100_000;
 
     private final Quay quay;
     private final Settings settings;
@@ -69,11 +80,14 @@
     private final long life;
     private final Tally tally;
     private final Locker locker;
+    private final Stores stores;
+    /** The claims whose runs are not settled yet. */
+    private final Set<String> atWork = new HashSet<>();
     private final Set<Call> parked = new LinkedHashSet<>();
-    private final Map<String, Double> nodeShares = new HashMap<>();
+    private final long keysTrusted;
+    private Berths berths = Berths.alone("-");
 
     private Configuration configuration;
-    private int nodes = 1;
     private boolean leaving;
     private long tokenNumber;
     private boolean waitCheckDue;
@@ -88,6 +102,8 @@
         this.locker = new Locker(settings.keyWindowMicros() + 10_000_000, Runtime.getRuntime().maxMemory() / 4);
         this.random = new Random(ThreadLocalRandom.current().nextLong());
         this.node = nodeFor.apply(this);
+        this.stores = new Stores(quay, node, LENT);
+        this.keysTrusted = settings.revokeMicros() - Math.max(REVOKE_MARGIN, settings.revokeMicros() / 20);
         quay.after(SWEEP, this::sweep);
         quay.after(SAMPLE, this::sample);
     }
@@ -131,16 +147,15 @@
     }
 
     @Override
-    public void nodes(List<String> zones) {
-        nodes = zones.size();
-        nodeShares.clear();
-        zones.forEach(z -> nodeShares.merge(z, 1.0 / zones.size(), Double::sum));
-        fairways.values().forEach(f -> f.zones(settings.zone(), nodeShares, nodes));
+    public void fleet(Map<String, Integer> nodesInZone, int rank) {
+        berths = new Berths(settings.zone(), Map.copyOf(nodesInZone), rank);
+        fairways.values().forEach(f -> f.berths(berths));
     }
 
     @Override
-    public Flag keptAnswer(String key, String token) {
-        return locker.get(key, token);
+    public Flag outcome(String key, String token) {
+        Flag kept = locker.get(key, token);
+        return kept != null ? kept : atWork.contains(token) ? new Flag("working") : null;
     }
 
     @Override
@@ -157,7 +172,7 @@
                 h.pool.close();
                 f.hulls.remove(v.id());
                 serviceOf.remove(v.id());
-                f.arrange();
+                f.changed();
             }
             return;
         }
@@ -173,7 +188,7 @@
         } else {
             h.vessel = v;
         }
-        f.arrange();
+        f.changed();
         if (v.state() == VesselState.IN_SERVICE) {
             wake(f);
         }
@@ -182,13 +197,14 @@
     private Fairway fairway(String service) {
         return fairways.computeIfAbsent(service, s -> {
             Fairway f = new Fairway(s, random, settings.ejectSlow());
-            f.zones(settings.zone(), nodeShares, nodes);
+            f.berths(berths);
             return f;
         });
     }
 
     private void sweep() {
         fairways.values().forEach(f -> f.hulls.values().forEach(h -> h.pool.sweep()));
+        stores.sweep();
         quay.after(SWEEP, this::sweep);
     }
 
@@ -221,6 +237,25 @@
             call.answer(Replies.problem(404, "no route"));
             return;
         }
+        Shipper shipper = null;
+        if (configuration.closed() && !route.open()) {
+            if (!keysFresh()) {
+                stale(call);
+                return;
+            }
+            shipper = shipperOf(r);
+            if (shipper == null) {
+                if (node.outOfTouch()) {
+                    // The key may have come with a version that has not reached this node.
+                    stale(call);
+                    return;
+                }
+                tally.unauthorised.increment();
+                call.answer(Replies.problem(401, AUTHORIZATION + ": no tenant holds such a key")
+                        .header("WWW-Authenticate", "Bearer"));
+                return;
+            }
+        }
         if (r.first(ATTEMPT_ID) == null) {
             call.answer(Replies.problem(400, ATTEMPT_ID + ": missing"));
             return;
@@ -235,14 +270,14 @@
         long aim = route.aimMicros() > 0 ? route.aimMicros() : DEFAULT_AIM;
         long refuse = Math.min(aim / 4 - 10_000, left / 2);
         Fairway f = fairway(route.serviceFor((long) (random.nextDouble() * route.totalWeight())));
-        Passage p = new Passage(call, route, f, call.receivedAt() + left, call.receivedAt() + Math.max(20_000, refuse));
+        Passage p = new Passage(call, route, shipper, f, call.receivedAt() + left, call.receivedAt() + Math.max(20_000, refuse));
         if (p.keyed()) {
             p.key = r.first(KEY);
             if (p.key == null || p.key.isEmpty()) {
                 call.answer(Replies.problem(400, KEY + ": missing"));
                 return;
             }
-            p.key = route.host() + "\n" + p.key;
+            p.key = (shipper == null ? "host " + route.host() : "tenant " + shipper.name()) + "\n" + p.key;
             p.token = Long.toHexString(life) + "-" + Long.toHexString(++tokenNumber);
         }
         f.purse.earn(settings.retryRatio() * 0.9, purseCap());
@@ -250,11 +285,88 @@
         p.timer = quay.after(p.deadline() - now, () -> deadline(p));
         if (p.keyed()) {
             claim(p);
+        } else if (p.counted()) {
+            pay(p, () -> dispatch(p), over -> overQuota(p, over));
         } else {
             dispatch(p);
         }
     }
 
+    /** The tenant that holds the one well-formed key of the request, or null. */
+    private Shipper shipperOf(Missive r) {
+        Header[] given = r.headers().getHeaders(AUTHORIZATION);
+        if (given.length != 1 || given[0].getValue() == null) {
+            return null;
+        }
+        String v = given[0].getValue().trim();
+        return v.regionMatches(true, 0, BEARER, 0, BEARER.length())
+                ? configuration.shipperOf(v.substring(BEARER.length()).trim()) : null;
+    }
+
+    /**
+     * Whether no withdrawal of a key can have been acknowledged so long ago that it must hold here unheard. A request
+     * admitted now was sent before now, so this look is the one that counts; time spent frozen makes it older.
+     */
+    private boolean keysFresh() {
+        return !settings.revocationGlobal() || Quay.now() - node.freshAt() < keysTrusted;
+    }
+
+    private void stale(Call call) {
+        tally.stale.increment();
+        call.answer(Replies.unavailable("not sure of the keys in force", 0.2 + 0.2 * random.nextDouble()));
+    }
+
+    // ---------------------------------------------------------------- quotas
+
+    /** Takes a token of the tenant's quota, here or from the owner, then goes on; or does the other thing. */
+    private void pay(Passage p, Runnable paid, java.util.function.Consumer<Double> over) {
+        long until = Quay.now() + patience(p);
+        Stores.Taker taker = new Stores.Taker() {
+            private boolean done;
+
+            @Override
+            public boolean waits() {
+                return !done && !p.finished;
+            }
+
+            @Override
+            public void taken() {
+                done = true;
+                p.paid = true;
+                paid.run();
+            }
+
+            @Override
+            public void over(double retryAfter) {
+                done = true;
+                over.accept(retryAfter);
+            }
+        };
+        stores.want(p.shipper.name(), taker);
+        if (taker.waits()) {
+            quay.after(until - Quay.now(), () -> {
+                if (taker.waits()) {
+                    taker.over(-1);
+                }
+            });
+        }
+    }
+
+    /** How long the core is waited for: it changes hands within about a second. */
+    private long patience(Passage p) {
+        return node.outOfTouch() ? CLAIM_LEAST : Math.max(LEAST_LEFT, (p.deadline() - Quay.now()) * 2 / 5);
+    }
+
+    /** Below 0: nobody could say in time whether the tenant has tokens left. */
+    private void overQuota(Passage p, double retryAfter) {
+        if (retryAfter < 0) {
+            refuse(p, "the quota's owner did not answer in time");
+            return;
+        }
+        tally.overQuota.increment();
+        finishNotRun(p, Replies.overQuota("the tenant's quota is used up", retryAfter));
+    }
+
     /** A node that has just started has its configuration in a moment; what comes before waits a part of its time. */
     private void park(Call call) {
         parked.add(call);
@@ -278,7 +390,7 @@
     }
 
     private double purseCap() {
-        return settings.retrySlack() / (2.0 * Math.max(nodes, SMALL_FLEET));
+        return settings.retrySlack() / (2.0 * Math.max(berths.nodes(), SMALL_FLEET));
     }
 
     private void finish(Passage p, Missive answer) {
@@ -292,6 +404,10 @@
             p.hedge.cancel();
         }
         p.fairway.waiting.remove(p);
+        if (p.paid) {
+            // Never used: what was taken for a run is given back where none was begun.
+            stores.giveBack(p.shipper.name());
+        }
         p.call.answer(answer);
     }
 
@@ -316,52 +432,81 @@
     // ------------------------------------------------------------------ keys
 
     private void claim(Passage p) {
-        // Longer than a worker is waited for: while the core changes hands, the answer comes within about a second.
-        long wait = node.outOfTouch() ? CLAIM_LEAST : Math.max(LEAST_LEFT, (p.deadline() - Quay.now()) * 2 / 5);
-        Flag ask = new Flag("ask").with("op", "claim").with("key", p.key).with("token", p.token);
-        node.ask(ask, wait, 200_000, r -> claimed(p, r));
+        Flag ask = new Flag("ask").with("op", "claim").with("key", p.key).with("token", p.token)
+                .with("holder", settings.internalAddress());
+        if (p.counted() && !p.paid) {
+            if (stores.take(p.shipper.name())) {
+                p.paid = true;
+            } else {
+                stores.sign(ask).with("tenant", stores.part(p.shipper.name(), 1));
+            }
+        }
+        long asked = Quay.now();
+        atWork.add(p.token);
+        node.ask(ask, patience(p), 200_000, r -> claimed(p, r, asked));
     }
 
-    private void claimed(Passage p, Flag r) {
-        if (p.finished) {
-            if (r != null && r.truth("granted")) {
+    private void claimed(Passage p, Flag r, long asked) {
+        boolean granted = r != null && r.truth("granted");
+        Flag lent = r == null ? null : r.flag("lent");
+        if (lent != null) {
+            stores.lent(r.number("term"), lent, asked, false);
+        }
+        if (p.finished || r == null) {
+            if (granted || r == null) {
                 free(p);
+            } else {
+                atWork.remove(p.token);
+            }
+            if (!p.finished) {
+                tally.refused.increment();
+                // A node that is cut off sends the client to another at once; else the core is about to be back.
+                double later = node.outOfTouch() ? CLAIM_LEAST / 1e6
+                        : Math.max(0.05, (p.deadline() - Quay.now()) / 3.5e6);
+                finishNotRun(p, Replies.unavailable("the key could not be claimed in time", later));
             }
             return;
         }
-        if (r == null) {
-            free(p);
-            tally.refused.increment();
-            // A node that is cut off sends the client to another at once; else the core is about to be back.
-            double later = node.outOfTouch() ? CLAIM_LEAST / 1e6 : Math.max(0.05, (p.deadline() - Quay.now()) / 3.5e6);
-            finishNotRun(p, Replies.unavailable("the key could not be claimed in time", later));
-        } else if (r.truth("granted")) {
-            dispatch(p);
-        } else if (r.has("holder")) {
+        if (granted) {
+            p.claimed = true;
+            if (!p.counted() || p.paid || stores.take(p.shipper.name())) {
+                p.paid = p.counted();
+                dispatch(p);
+            } else {
+                pay(p, () -> dispatch(p), over -> overQuota(p, over));
+            }
+            return;
+        }
+        atWork.remove(p.token);
+        if (lent != null) {
+            unlent(p, lent);
+        } else {
             replayFrom(p, r.text("holder"), r.text("run"));
-        } else if (r.truth("unknown")) {
-            finish(p, Replies.problem(502, "an earlier try of this operation has no known outcome"));
-        } else if (p.deadline() - Quay.now() > (p.deadline() - p.call.receivedAt()) / 2) {
-            quay.after(BUSY_AGAIN, () -> {
-                if (!p.finished) {
-                    awaitOther(p);
-                }
-            });
+        }
+    }
+
+    /** The key is free, but the owner lent no token for its run. */
+    private void unlent(Passage p, Flag lent) {
+        long half = (p.deadline() - p.call.receivedAt()) / 2;
+        if (lent.truth("over")) {
+            overQuota(p, Math.max(0.3, Math.min(5, lent.number("again") / 1e6)));
+        } else if (p.deadline() - Quay.now() > half) {
+            quay.after(Math.max(20_000, Math.min(120_000, lent.number("again"))), () -> again(p));
         } else {
-            finish(p, Replies.problem(409, "the operation is in work").header("Retry-After", "0.1"));
+            overQuota(p, -1);
         }
     }
 
-    /** Another try of the same operation is at work: ask again for its outcome. */
-    private void awaitOther(Passage p) {
-        Flag ask = new Flag("ask").with("op", "claim").with("key", p.key).with("token", p.token);
-        node.ask(ask, Math.max(20_000, (p.deadline() - Quay.now()) / 2), 200_000, r -> claimed(p, r));
+    private void again(Passage p) {
+        if (!p.finished) {
+            claim(p);
+        }
     }
 
+    /** Another try of the operation claimed the key: the node that did so knows how it went. */
     private void replayFrom(Passage p, String holder, String run) {
-        Flag here = locker.get(p.key, run);
-        if (here != null) {
-            replayed(p, here);
+        if (holder == null || holder.isEmpty() || holder.equals(settings.internalAddress())) {
+            replayed(p, outcome(p.key, run));
             return;
         }
         node.fetch(holder, p.key, run, Math.min(FETCH, Math.max(LEAST_LEFT, p.deadline() - Quay.now() - LEAST_LEFT)),
@@ -369,35 +514,45 @@
     }
 
     private void replayed(Passage p, Flag a) {
-        if (a == null) {
-            finish(p, Replies.problem(502, "the operation has run; its answer is no longer at hand"));
+        if (p.finished) {
             return;
         }
-        tally.replays.increment();
-        finish(p, replay(a, p));
+        if (a == null || a.kind().equals("unknown")) {
+            finish(p, Replies.problem(502, "an earlier try of this operation has no known outcome"));
+        } else if (a.kind().equals("answer")) {
+            tally.replays.increment();
+            finish(p, replay(a, p));
+        } else if (p.deadline() - Quay.now() > (p.deadline() - p.call.receivedAt()) / 2) {
+            // Claimed again, for the run may turn out not to have been one.
+            quay.after(WORK_ASKED_AGAIN, () -> again(p));
+        } else {
+            finish(p, Replies.problem(409, "the operation is in work").header("Retry-After", "0.1"));
+        }
     }
 
     private void free(Passage p) {
         p.freed = true;
         node.ask(new Flag("ask").with("op", "free").with("key", p.key).with("token", p.token), 3_000_000, 400_000,
-                r -> { });
+                r -> atWork.remove(p.token));
     }
 
     private void settleUnknown(Passage p) {
         if (p.mayHaveRun) {
-            node.ask(new Flag("ask").with("op", "unknown").with("key", p.key).with("token", p.token), 3_000_000,
-                    400_000, r -> { });
+            settle(p, new Flag("unknown"));
         } else {
             free(p);
         }
     }
 
     private void settleDone(Passage p, Missive m) {
-        Flag answer = new Flag("answer").with("status", m.status()).with("body", m.body())
-                .with("seal", m.first(SEAL)).with("type", m.first("Content-Type"));
-        locker.put(p.key, p.token, answer, Quay.now());
-        node.ask(new Flag("ask").with("op", "done").with("key", p.key).with("token", p.token)
-                .with("holder", settings.internalAddress()), 3_000_000, 400_000, r -> { });
+        settle(p, new Flag("answer").with("status", m.status()).with("body", m.body())
+                .with("seal", m.first(SEAL)).with("type", m.first("Content-Type")));
+    }
+
+    /** Keeps the outcome for repeats: the ledger names this node as the one that knows it. */
+    private void settle(Passage p, Flag outcome) {
+        locker.put(p.key, p.token, outcome, Quay.now());
+        atWork.remove(p.token);
     }
 
     private static Missive replay(Flag a, Passage p) {
@@ -412,6 +567,11 @@
         if (p.finished) {
             return;
         }
+        if (p.shipper != null && !keysFresh()) {
+            tally.stale.increment();
+            refuse(p, "not sure of the keys in force");
+            return;
+        }
         Hull h = p.fairway.pick(now, p.tried);
         if (h == null) {
             if (p.attempts > 0 || now >= p.refuseAt()) {
@@ -428,6 +588,7 @@
             return;
         }
         p.attempts++;
+        p.paid = false;
         p.tried.add(h.id());
         Attempt attempt = new Attempt(h, now);
         p.open.add(attempt);
@@ -465,19 +626,28 @@
         long now = Quay.now();
         if (p.finished || p.open.size() != 1 || !p.open.get(0).silent() || p.attempts >= p.route.maxAttempts()
                 || p.deadline() - now < hedgeAfter(p.route) / 2 || p.fairway.pick(now, p.tried) == null
-                || !p.fairway.purse.spend()) {
+                || p.counted() && !p.paid && !stores.take(p.shipper.name())) {
             return;
         }
-        tally.hedges.increment();
-        dispatch(p);
+        p.paid = p.counted();
+        if (p.fairway.purse.spend()) {
+            tally.hedges.increment();
+            dispatch(p);
+        }
     }
 
     private static Missive toWorker(Passage p, Hull h, long left) {
         Missive r = p.call.request();
         Missive m = Missive.request(r.method(), r.target());
         copyHeaders(r, m, true);
+        if (p.shipper != null || p.route.open()) {
+            m.headers().removeHeaders(AUTHORIZATION);
+        }
         m.header(TIME_LEFT, Long.toString(Math.max(1, left / 1000)));
         m.header(EXPECTED, h.id());
+        if (p.shipper != null) {
+            m.header(TENANT, p.shipper.name());
+        }
         m.body(r.body());
         return m;
     }
@@ -494,7 +664,7 @@
             if (HOP.contains(n) || named.contains(n)) {
                 continue;
             }
-            if (request && (n.equalsIgnoreCase(TIME_LEFT) || n.equalsIgnoreCase(EXPECTED))) {
+            if (request && OWN.contains(n)) {
                 continue;
             }
             to.headers().addHeader(h);
@@ -533,6 +703,7 @@
         }
         if (notRun) {
             tally.turnedAway.increment();
+            p.paid = p.counted() && p.open.isEmpty();
             if (m.status() == 421) {
                 h.failed(Quay.now());
             } else {
@@ -584,6 +755,7 @@
         LOG.debug("event=attempt_failed service={} instance={} written={} why={}", p.fairway.name, h.id(), written,
                 why);
         if (!written) {
+            p.paid = p.counted();
             // No byte went out, so no worker has it: another may be tried, and it costs the budget nothing.
             anotherOr(p, false, () -> finishNotRun(p, Replies.unavailable("no worker could be reached", comeBack())));
             return;
@@ -613,7 +785,11 @@
             return;
         }
         tally.retries.increment();
-        dispatch(p);
+        if (p.counted() && !p.paid) {
+            pay(p, () -> dispatch(p), over -> otherwise.run());
+        } else {
+            dispatch(p);
+        }
     }
 
     private void finishNotRun(Passage p, Missive answer) {
@@ -624,7 +800,7 @@
             finish(p, Replies.problem(502, "the outcome is not known"));
             return;
         }
-        if (p.keyed() && !p.freed) {
+        if (p.claimed && !p.freed) {
             free(p);
         }
         finish(p, answer);
--- a/src/main/java/org/otterpond/cargo/Tally.java
+++ b/src/main/java/org/otterpond/cargo/Tally.java
@@ -14,5 +14,8 @@
     public final LongAdder hedges = new LongAdder();
     public final LongAdder refused = new LongAdder();
     public final LongAdder timeouts = new LongAdder();
+    public final LongAdder unauthorised = new LongAdder();
+    public final LongAdder stale = new LongAdder();
+    public final LongAdder overQuota = new LongAdder();
     public final LongAdder replays = new LongAdder();
 }
--- a/src/main/java/org/otterpond/chart/Configuration.java
+++ b/src/main/java/org/otterpond/chart/Configuration.java
@@ -12,8 +12,13 @@
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, Service> services;
     private final Limits limits;
+    private final List<Shipper> shippers;
+    private final Map<String, Shipper> shipperOfKey = new HashMap<>();
 
-    Configuration(long revision, List<Route> routes, Map<String, Service> services, Limits limits) {
+    Configuration(long revision, List<Route> routes, Map<String, Service> services, Limits limits,
+            List<Shipper> shippers) {
+        this.shippers = List.copyOf(shippers);
+        shippers.forEach(s -> s.keys().forEach(k -> shipperOfKey.put(k, s)));
         this.revision = revision;
         this.services = Map.copyOf(services);
         this.limits = limits;
@@ -32,6 +37,20 @@
         return limits;
     }
 
+    public List<Shipper> shippers() {
+        return shippers;
+    }
+
+    /** Whether requests must bring an access key, but on public routes. */
+    public boolean closed() {
+        return !shippers.isEmpty();
+    }
+
+    /** The tenant that holds the key, or null. */
+    public Shipper shipperOf(String key) {
+        return shipperOfKey.get(key);
+    }
+
     public Map<String, Service> services() {
         return services;
     }
--- a/src/main/java/org/otterpond/chart/ConfigurationReader.java
+++ b/src/main/java/org/otterpond/chart/ConfigurationReader.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -54,7 +55,45 @@
                     1000 * l.whole("header_timer_ms", 1, MAX_MILLIS, limits.headerMicros() / 1000),
                     1000 * l.whole("idle_timer_ms", 1, MAX_MILLIS, limits.idleMicros() / 1000));
         }
-        return new Configuration(revision, routes, services, limits);
+        return new Configuration(revision, routes, services, limits, shippers(f));
+    }
+
+    private static List<Shipper> shippers(Fields f) throws ChartException {
+        List<Shipper> out = new ArrayList<>();
+        if (!f.has("subscribers")) {
+            return out;
+        }
+        Set<String> names = new HashSet<>();
+        Set<String> taken = new HashSet<>();
+        JsonArray list = f.array("subscribers");
+        for (int i = 0; i < list.size(); i++) {
+            Fields s = Fields.of(list.get(i), "subscribers[" + i + "]");
+            String name = s.text("name");
+            if (!names.add(name)) {
+                throw new ChartException(s.at("name") + ": given twice");
+            }
+            if (!name.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+                throw new ChartException(s.at("name") + ": must fit into a header: printable ASCII without spaces");
+            }
+            List<String> keys = new ArrayList<>();
+            if (s.has("access_keys")) {
+                JsonArray given = s.array("access_keys");
+                for (int k = 0; k < given.size(); k++) {
+                    String at = s.at("access_keys[" + k + "]");
+                    if (!(given.get(k) instanceof JsonPrimitive p) || !p.isString() || p.getAsString().isEmpty()) {
+                        throw new ChartException(at + ": a text that is not empty is wanted");
+                    }
+                    // The key itself is never named: causes are logged and sent about.
+                    if (!taken.add(p.getAsString())) {
+                        throw new ChartException(at + ": this key is given already");
+                    }
+                    keys.add(p.getAsString());
+                }
+            }
+            out.add(new Shipper(name, List.copyOf(keys), (int) s.whole("priority", 0, Integer.MAX_VALUE, 0),
+                    s.real("rate_per_s", 0, 0), s.real("burst_size", 0, 0)));
+        }
+        return out;
     }
 
     private static Route route(Fields r, Map<String, Service> services) throws ChartException {
@@ -85,7 +124,7 @@
                 1000 * r.whole("guard_timer_ms", 1, MAX_MILLIS),
                 1000 * r.whole("target_latency_ms", 0, MAX_MILLIS, 0),
                 (int) r.whole("priority", 0, Integer.MAX_VALUE, 0), List.copyOf(targets),
-                (int) r.whole("max_attempts", 1, 1000, 1));
+                (int) r.whole("max_attempts", 1, 1000, 1), r.truth("public_access", false));
     }
 
     /** The whole configuration that a change makes of the current one. */
--- a/src/main/java/org/otterpond/chart/Route.java
+++ b/src/main/java/org/otterpond/chart/Route.java
@@ -4,7 +4,7 @@
 
 /** One route. Times are in microseconds; aim 0 means that none was given. */
 public record Route(String name, String host, String prefix, RouteType type, long guardMicros, long aimMicros,
-        int priority, List<Target> targets, int maxAttempts) {
+        int priority, List<Target> targets, int maxAttempts, boolean open) {
 
     /** The service for a draw in [0, total weight). */
     public String serviceFor(long draw) {
--- a/src/main/java/org/otterpond/chart/Settings.java
+++ b/src/main/java/org/otterpond/chart/Settings.java
@@ -14,7 +14,8 @@
         String controlPoint, int internalPort, List<String> seedAddresses, boolean initialStart, String dataDir,
         int memoryMb, int fileDescriptors, long heartbeatMicros, long contactMicros, long drainMicros,
         long graceMicros, double retryRatio, double retrySlack, long retryWindowMicros, long keyWindowMicros,
-        String logLevel, boolean ejectSlow) {
+        String logLevel, boolean ejectSlow, int faults, boolean revocationGlobal, long revokeMicros,
+        long quotaWindowMicros, double quotaExcess, double quotaSlack) {
 
     public static Settings load(Path file) throws ChartException {
         String text;
@@ -50,6 +51,8 @@
         }
         Fields b = f.has("bounds") ? f.object("bounds") : Fields.of(new JsonObject(), "bounds");
         Fields l = f.has("limits") ? f.object("limits") : Fields.of(new JsonObject(), "limits");
+        Fields t = f.has("fault_tolerance") ? f.object("fault_tolerance")
+                : Fields.of(new JsonObject(), "fault_tolerance");
         String ip = f.text("ip");
         return new Settings(f.text("node_name"), ip, f.text("zone", "-"),
                 point(points, "front_plain"), point(points, "readiness_point"), point(points, "control_point"),
@@ -60,7 +63,10 @@
                 (long) (1_000_000 * b.real("grace_s", 0.1, 6)), b.real("retry_ratio", 0, 0.2),
                 b.real("retry_slack", 0, 0), (long) (1_000_000 * b.real("retry_window_s", 0.1, 10)),
                 (long) (1_000_000 * b.real("key_window_s", 0, 60)), f.text("log_level", "info"),
-                f.truth("eject_slow_workers", true));
+                f.truth("eject_slow_workers", true), (int) t.whole("machines", 0, 100, 1),
+                b.truth("revocation_global", false), 1000 * b.whole("revoke_timer_ms", 1, 3_600_000, 5000),
+                (long) (1_000_000 * b.real("quota_window_s", 0.1, 5)), b.real("quota_excess", 0, 0.1),
+                b.real("quota_slack", 0, 0));
     }
 
     private static String point(Fields points, String name) throws ChartException {
--- a/src/main/java/org/otterpond/client/StatusCommand.java
+++ b/src/main/java/org/otterpond/client/StatusCommand.java
@@ -29,13 +29,22 @@
         JsonObject o = Fields.parse(text);
         System.out.println("epoch " + o.get("epoch") + (o.get("confirmed").getAsBoolean() ? "" : " (unconfirmed)")
                 + ", revision " + o.get("revision") + ", " + o.get("claims") + " operation keys");
-        System.out.println("primary " + text(o, "primary") + ", backup " + text(o, "backup") + ", core "
+        System.out.println("primary " + text(o, "primary") + ", backups " + o.get("backups") + ", core "
                 + o.get("core"));
         System.out.printf("%-28s %-24s %s%n", "NODE", "ADDRESS", "REVISION");
         for (JsonElement e : o.getAsJsonArray("nodes")) {
             JsonObject n = e.getAsJsonObject();
             System.out.printf("%-28s %-24s %s%n", text(n, "name"), text(n, "addr"), text(n, "cfg"));
         }
+        if (!o.getAsJsonArray("quotas").isEmpty()) {
+            System.out.printf("%-28s %10s %10s %10s %8s %12s %12s%n", "TENANT", "RATE", "BURST", "TOKENS", "LENT",
+                    "GRANTED", "DENIED");
+        }
+        for (JsonElement e : o.getAsJsonArray("quotas")) {
+            JsonObject q = e.getAsJsonObject();
+            System.out.printf("%-28s %10s %10s %10s %8s %12s %12s%n", text(q, "name"), text(q, "rate"),
+                    text(q, "burst"), text(q, "tokens"), text(q, "out"), text(q, "granted"), text(q, "denied"));
+        }
         System.out.printf("%-20s %-20s %-24s %-18s %-12s %s%n", "WORKER", "SERVICE", "ADDRESS", "ZONE", "STATE",
                 "SLOTS");
         for (JsonElement e : o.getAsJsonArray("workers")) {
--- a/src/main/java/org/otterpond/harbour/EpochRecord.java
+++ b/src/main/java/org/otterpond/harbour/EpochRecord.java
@@ -1,35 +1,48 @@
 package org.otterpond.harbour;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.otterpond.signal.Flag;
 
-/** What an epoch names: its primary, its backup (null only in a core of one) and the core's members. */
-public record EpochRecord(String fleet, long epoch, Berth primary, Berth backup, List<Berth> members, int target) {
+/**
+ * What an epoch names: its primary, its backups (none only in a core of one, or where no loss is to be borne) and the
+ * core's members. Primary and backups are the epoch's group: each of them holds all that the epoch acknowledged.
+ */
+public record EpochRecord(String fleet, long epoch, Berth primary, List<Berth> backups, List<Berth> members,
+        int target) {
     public Flag toFlag() {
-        List<Flag> ms = new ArrayList<>();
-        members.forEach(m -> ms.add(m.toFlag()));
         return new Flag("epoch").with("fleet", fleet).with("epoch", epoch).with("primary", primary.toFlag())
-                .with("backup", backup == null ? null : backup.toFlag()).withFlags("members", ms)
-                .with("target", target);
+                .withFlags("backups", flags(backups)).withFlags("members", flags(members)).with("target", target);
     }
 
     public static EpochRecord of(Flag f) {
         if (f == null) {
             return null;
         }
-        List<Berth> ms = new ArrayList<>();
-        f.flags("members").forEach(m -> ms.add(Berth.of(m)));
-        return new EpochRecord(f.text("fleet"), f.number("epoch"), Berth.of(f.flag("primary")),
-                Berth.of(f.flag("backup")), List.copyOf(ms), (int) f.number("target"));
+        // Journals written when there was one backup name it by itself.
+        List<Berth> backups = f.has("backup") ? List.of(Berth.of(f.flag("backup"))) : berths(f, "backups");
+        return new EpochRecord(f.text("fleet"), f.number("epoch"), Berth.of(f.flag("primary")), backups,
+                berths(f, "members"), (int) f.number("target"));
+    }
+
+    private static List<Flag> flags(List<Berth> berths) {
+        return berths.stream().map(Berth::toFlag).toList();
+    }
+
+    private static List<Berth> berths(Flag f, String name) {
+        return f.flags(name).stream().map(Berth::of).toList();
     }
 
     public boolean hasMember(String diskId) {
         return members.stream().anyMatch(m -> m.diskId().equals(diskId));
     }
 
-    public boolean inPair(String diskId) {
-        return primary.diskId().equals(diskId) || (backup != null && backup.diskId().equals(diskId));
+    public boolean inGroup(String diskId) {
+        return primary.diskId().equals(diskId) || rankOf(diskId) >= 0;
+    }
+
+    /** The place among the backups, -1 if it is none of them. */
+    public int rankOf(String diskId) {
+        return place(backups, diskId);
     }
 
     public int quorum() {
@@ -37,8 +50,12 @@
     }
 
     public int indexOf(String diskId) {
-        for (int i = 0; i < members.size(); i++) {
-            if (members.get(i).diskId().equals(diskId)) {
+        return place(members, diskId);
+    }
+
+    private static int place(List<Berth> berths, String diskId) {
+        for (int i = 0; i < berths.size(); i++) {
+            if (berths.get(i).diskId().equals(diskId)) {
                 return i;
             }
         }
--- a/src/main/java/org/otterpond/harbour/Founding.java
+++ b/src/main/java/org/otterpond/harbour/Founding.java
@@ -16,6 +16,7 @@
     private final String self;
     private final List<String> seeds;
     private final int rank;
+    private final int faults;
     private final boolean votes;
     private final long startedAt;
 
@@ -35,8 +36,9 @@
 
     private EpochRecord decided;
 
-    public Founding(Deck deck, String self, List<String> seeds, boolean firstLife) {
+    public Founding(Deck deck, String self, List<String> seeds, boolean firstLife, int faults) {
         this.deck = deck;
+        this.faults = faults;
         this.self = self;
         this.seeds = seeds;
         this.rank = seeds.indexOf(self);
@@ -154,7 +156,8 @@
         List<Berth> members = new ArrayList<>(blanks.values());
         members.sort((a, b) -> a.address().compareTo(b.address()));
         String fleet = Long.toHexString(deck.random(Long.MAX_VALUE));
-        return new EpochRecord(fleet, 1, members.get(0), members.size() > 1 ? members.get(1) : null,
-                List.copyOf(members), members.size());
+        return new EpochRecord(fleet, 1, members.get(0),
+                List.copyOf(members.subList(1, 1 + Math.min(faults, members.size() - 1))), List.copyOf(members),
+                members.size());
     }
 }
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -11,7 +11,9 @@
 import org.otterpond.chart.ChartException;
 import org.otterpond.chart.ConfigurationReader;
 import org.otterpond.chart.Fields;
+import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
+import org.otterpond.signal.SignalException;
 
 /**
  * The control side of one node: finds the core, keeps its lease by long polls, takes news of configuration and
@@ -50,6 +52,10 @@
     private boolean seeking;
     private long heardPrimary;
     private String polled;
+    private final Map<String, Vessel> toTell = new LinkedHashMap<>();
+    /** The newest moment at which this node's configuration is known to have been the newest acknowledged. */
+    private long freshAt = Long.MIN_VALUE / 2;
+    private final Map<String, String> beacons = new LinkedHashMap<>();
 
     private final Map<Long, Ask> asks = new LinkedHashMap<>();
     private long askNumber;
@@ -65,18 +71,19 @@
         long sentAt;
     }
 
-    public HarbourNode(Deck deck, NodeIdentity me, Shore shore, long heartbeatMicros, long keyWindowMicros) {
+    public HarbourNode(Deck deck, NodeIdentity me, Shore shore, HarbourTerms terms) {
         this.deck = deck;
         this.me = me;
         this.shore = shore;
         this.askNumber = me.life() & 0xffff_ffff_0000L;
-        this.founding = new Founding(deck, me.address(), me.seeds(), me.firstLife());
+        this.founding = new Founding(deck, me.address(), me.seeds(), me.firstLife(),
+                terms.faults());
         if (me.diskId() != null) {
             Berth berth = new Berth(me.diskId(), me.address(), me.name(), me.zone());
             // The margin covers the longest time between a claim and the sending of what it allows.
-            Hold hold = new Hold(keyWindowMicros + 10_000_000);
-            this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold);
-            this.helm = new Helm(deck, watch, berth, heartbeatMicros);
+            Hold hold = new Hold(terms.keyWindowMicros() + 10_000_000);
+            this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold, terms.faults());
+            this.helm = new Helm(deck, watch, berth, terms.heartbeatMicros(), terms.quota());
         } else {
             this.watch = null;
             this.helm = null;
@@ -190,8 +197,8 @@
     }
 
     @Override
-    public void began(EpochRecord record) {
-        helm.began();
+    public void began(EpochRecord record, boolean continued) {
+        helm.began(continued);
         learnt(record);
         Flag f = new Flag("harbour").with("record", record.toFlag());
         contacts.stream().filter(a -> !a.equals(me.address())).forEach(a -> deck.send(a, f));
@@ -213,9 +220,17 @@
                 .with("disk", me.diskId()).with("life", me.life()).with("epoch", tableEpoch)
                 .with("table", tableVersion).with("cfg", revision).with("pn", ++pollNumber);
         if (toldEpoch != known.epoch()) {
-            List<Flag> all = new ArrayList<>();
-            roster.values().forEach(v -> all.add(v.toFlag(deck.now())));
-            f.withFlags("tell", all);
+            long sum = 0;
+            for (Vessel v : roster.values()) {
+                sum += v.sum();
+            }
+            f.with("sum", sum);
+        }
+        if (!toTell.isEmpty()) {
+            List<Flag> told = new ArrayList<>();
+            toTell.values().forEach(v -> told.add(v.toFlag(deck.now())));
+            toTell.clear();
+            f.withFlags("tell", told);
         }
         deck.send(polled, f);
     }
@@ -232,17 +247,14 @@
         heardPrimary = deck.now();
         if (f.has("record")) {
             learnRecord(EpochRecord.of(f.flag("record")));
-            List<String> zones = new ArrayList<>();
-            for (Flag n : f.flags("nodes")) {
-                contacts.add(n.text("addr"));
-                zones.add(n.text("zone"));
-            }
-            shore.nodes(zones);
+            takeFleet(f.flag("fleet"));
         }
         toldEpoch = f.number("epoch");
         takeConfiguration(f);
-        long now = deck.now();
-        f.flags("table").forEach(v -> takeVessel(Vessel.of(v, now)));
+        if (revision >= f.number("rev")) {
+            freshAt = Math.max(freshAt, polledAt - f.number("back"));
+        }
+        takeTable(f);
         tableVersion = f.number("ver");
         tableEpoch = f.number("epoch");
         if (!polling) {
@@ -250,6 +262,71 @@
         }
     }
 
+    private void takeFleet(Flag fleet) {
+        if (fleet == null) {
+            return;
+        }
+        Map<String, Integer> counts = new LinkedHashMap<>();
+        List<Object> zones = fleet.list("zones");
+        for (int i = 0; i + 1 < zones.size(); i += 2) {
+            counts.put((String) zones.get(i), ((Number) zones.get(i + 1)).intValue());
+        }
+        fleet.list("contacts").forEach(c -> contacts.add((String) c));
+        beacons.clear();
+        List<Object> lights = fleet.list("beacons");
+        for (int i = 0; i + 1 < lights.size(); i += 2) {
+            beacons.put((String) lights.get(i + 1), (String) lights.get(i));
+            contacts.add((String) lights.get(i + 1));
+        }
+        shore.fleet(counts, (int) fleet.number("rank"));
+    }
+
+    private void takeTable(Flag f) {
+        long now = deck.now();
+        f.flags("table").forEach(v -> takeVessel(Vessel.of(v, now)));
+        if (!f.has("whole")) {
+            return;
+        }
+        try {
+            Map<String, Vessel> theirs = new HashMap<>();
+            for (Flag v : Bale.unpack(f.bytes("whole")).flags("table")) {
+                Vessel told = Vessel.of(v, now);
+                theirs.put(told.id(), told);
+                takeVessel(told);
+            }
+            if (f.truth("want")) {
+                // What is known better here is told again, and nothing else.
+                for (Vessel mine : roster.values()) {
+                    Vessel other = theirs.get(mine.id());
+                    if (mine.differs(other) && (other != null || mine.state().compareTo(VesselState.LOST) < 0)) {
+                        toTell.put(mine.id(), mine);
+                    }
+                }
+            }
+        } catch (SignalException e) {
+            deck.event("event=table_unreadable cause=" + e.getMessage());
+        }
+    }
+
+    /** The newest moment at which what is in force here is known to have been the newest acknowledged. */
+    public long freshAt() {
+        return freshAt;
+    }
+
+    /**
+     * Where a worker of the zone had best send its later beats, or null: to a node with a disk, so that beats reach
+     * the primary in few messages. Nobody is sent away from such a node, or while this one may be out of touch.
+     */
+    public String beacon(String zone, String instance) {
+        if (me.diskId() != null || outOfTouch() || beacons.isEmpty()) {
+            return null;
+        }
+        List<String> near = beacons.entrySet().stream().filter(e -> e.getValue().equals(zone))
+                .map(Map.Entry::getKey).toList();
+        List<String> from = near.isEmpty() ? List.copyOf(beacons.keySet()) : near;
+        return from.get(Math.floorMod(instance.hashCode(), from.size()));
+    }
+
     /** Takes a newer configuration; a change to another base is passed over, the next poll says what is held. */
     private void takeConfiguration(Flag f) {
         if (f.number("cfg") <= revision) {
@@ -261,15 +338,15 @@
                 if (f.number("base") != revision) {
                     return;
                 }
-                next = ConfigurationReader.modify(configuration, Fields.parse(f.text("change")));
+                next = ConfigurationReader.modify(configuration, Fields.parse(Bale.unpackText(f.bytes("change"))));
             } else {
-                next = Fields.parse(f.text("text"));
+                next = Fields.parse(Bale.unpackText(f.bytes("text")));
             }
             shore.configured(ConfigurationReader.read(next));
             configuration = next;
             revision = f.number("cfg");
             deck.event("event=configuration_in_force revision=" + revision);
-        } catch (ChartException e) {
+        } catch (ChartException | SignalException e) {
             deck.event("event=configuration_unreadable revision=" + f.number("cfg") + " cause=" + e.getMessage());
         }
     }
@@ -304,6 +381,11 @@
     /** A worker's beat or leave, met here. The answer says whether it is acknowledged. */
     public void beat(Vessel v, Consumer<Boolean> acknowledged) {
         if (v.state() == VesselState.IN_SERVICE) {
+            if (outOfTouch()) {
+                // The worker had best tell somebody whose word reaches the primary.
+                acknowledged.accept(false);
+                return;
+            }
             Vessel old = roster.get(v.id());
             takeVessel(v);
             beatsWaiting.put(v.id(), v.toFlag(deck.now()));
@@ -343,12 +425,17 @@
         ask(null, f, timeout, resend, answer);
     }
 
-    /** Asks another node for the answer that it keeps of a run; null if it has none or does not say. */
+    /** Asks the node that claimed a key how the run went; null if it does not say. */
     public void fetch(String holder, String key, String token, long timeout, Consumer<Flag> answer) {
         ask(holder, new Flag("fetch").with("key", key).with("token", token), timeout, timeout / 3 + 1,
                 r -> answer.accept(r == null ? null : r.flag("answer")));
     }
 
+    /** Names this process's life, for running totals. */
+    public long life() {
+        return me.life();
+    }
+
     private void ask(String to, Flag f, long timeout, long resend, Consumer<Flag> answer) {
         Ask a = new Ask();
         a.node = to;
@@ -430,7 +517,7 @@
                 }
             }
             case "fetch" -> deck.send(from, new Flag("reply").with("rid", f.number("rid"))
-                    .with("answer", shore.keptAnswer(f.text("key"), f.text("token"))));
+                    .with("answer", shore.outcome(f.text("key"), f.text("token"))));
             case "reply" -> {
                 if (f.truth("moved")) {
                     learnRecord(EpochRecord.of(f.flag("record")));
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -12,6 +12,7 @@
 import org.otterpond.chart.ChartException;
 import org.otterpond.chart.ConfigurationReader;
 import org.otterpond.chart.Fields;
+import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
 
 /** What the primary does for the nodes: leases and long polls, the worker table, configuration, operation keys. */
@@ -20,6 +21,9 @@
     private static final long POLL_HOLD = 700_000;
     private static final long EARLY_KEPT = 1_500_000;
     private static final long DRAIN_WAIT = 800_000;
+    /** So long after an epoch began, every node in touch has shown itself to the new primary. */
+    private static final long ALL_POLLED = 400_000;
+    private static final long EMPTY_AT_FIRST = 3_000_000;
     private static final long MEMBER_DEAD = 1_500_000;
     private static final long MEMBER_DROP = 6_000_000;
     private static final int MOST_MEMBERS = 9;
@@ -28,6 +32,7 @@
     private final Watch watch;
     private final Berth self;
     private final Register register;
+    private final Chandlery chandlery;
     private final Map<String, Lease> leases = new HashMap<>();
     private final Map<String, Early> early = new HashMap<>();
     private final Map<String, List<Consumer<Flag>>> claimsInWriting = new HashMap<>();
@@ -37,7 +42,17 @@
     private Flag lastChange;
     private boolean newsDue;
     private long nodesVersion;
+    private FleetPlan plan;
     private long membersTriedAt;
+    private long beganAt;
+    /** Names this node's unbroken time as primary; running totals of lent tokens belong to one term. */
+    private long term;
+    private long chandleryTicked;
+    private byte[] packedText;
+    private long packedRevision;
+    private byte[] packedTable;
+    private long packedVersion;
+    private long packedAt;
 
     private static final class Lease {
         Flag poll;
@@ -63,19 +78,27 @@
         final List<Consumer<Flag>> replies = new ArrayList<>();
     }
 
-    Helm(Deck deck, Watch watch, Berth self, long heartbeatMicros) {
+    Helm(Deck deck, Watch watch, Berth self, long heartbeatMicros, QuotaTerms terms) {
         this.deck = deck;
         this.watch = watch;
         this.self = self;
         this.register = new Register(heartbeatMicros);
+        this.chandlery = new Chandlery(terms);
     }
 
-    void began() {
+    void began(boolean continued) {
+        beganAt = deck.now();
+        if (!continued) {
+            term = watch.record().epoch();
+            chandlery.reset();
+        }
+        stock();
         register.reset(deck.now());
         watch.hold().workers().forEach(w -> register.take(Vessel.of(w, deck.now()), deck.now()));
         leases.clear();
         drains.clear();
         lastChange = null;
+        packedVersion = -1;
         nodesVersion++;
         Map<String, Early> polls = new HashMap<>(early);
         early.clear();
@@ -122,10 +145,15 @@
         l.at = now;
         l.heldSince = now;
         l.waiting = true;
-        l.tableVersion = poll.number("epoch") == watch.record().epoch() ? poll.number("table") : 0;
         if (poll.has("tell")) {
             poll.flags("tell").forEach(f -> take(Vessel.of(f, now)));
         }
+        if (poll.number("epoch") == watch.record().epoch()) {
+            l.tableVersion = poll.number("table");
+        } else {
+            // Most nodes hold what this one holds: then neither needs to tell the other.
+            l.tableVersion = poll.number("sum") == register.sum() ? register.version() : 0;
+        }
         checkDrains();
         answer(from, l, false);
     }
@@ -149,18 +177,21 @@
         long epoch = watch.record().epoch();
         boolean config = watch.committedRevision() > l.poll.number("cfg");
         boolean table = register.version() > l.tableVersion;
+        // Who else is there is news for which nobody need be woken: it goes with the next answer.
         boolean nodes = l.nodesVersion != nodesVersion;
         boolean fresh = l.poll.number("epoch") != epoch;
-        if (!config && !table && !nodes && !fresh && !now) {
+        if (!config && !table && !fresh && l.nodesVersion >= 0 && !now) {
             return;
         }
         Flag news = new Flag("news").with("epoch", epoch).with("ver", register.version())
-                .with("pn", l.poll.number("pn"));
+                .with("pn", l.poll.number("pn")).with("rev", watch.committedRevision())
+                // How long before the poll came this node is known to have led.
+                .with("back", Math.max(0, l.heldSince - watch.followedSince()));
         if (fresh || nodes) {
-            news.with("record", watch.record().toFlag());
-            List<Flag> nodesNow = new ArrayList<>();
-            leases.forEach((a, n) -> nodesNow.add(new Flag("n").with("addr", a).with("zone", n.poll.text("zone"))));
-            news.withFlags("nodes", nodesNow);
+            if (plan == null || plan.version() != nodesVersion) {
+                plan = plan();
+            }
+            news.with("record", watch.record().toFlag()).with("fleet", plan.toFlag(l.poll.text("zone"), to));
             l.nodesVersion = nodesVersion;
         }
         if (config) {
@@ -168,20 +199,52 @@
                     && lastChange.number("rev") == watch.committedRevision();
             news.with("cfg", watch.committedRevision());
             if (patch) {
-                news.with("base", lastChange.number("base")).with("change", lastChange.text("change"));
+                news.with("base", lastChange.number("base")).with("change", lastChange.bytes("change"));
             } else {
-                news.with("text", watch.committedText());
+                news.with("text", packedText());
             }
         }
         if (table) {
-            List<Flag> vessels = new ArrayList<>();
-            register.newerThan(l.tableVersion).forEach(v -> vessels.add(v.toFlag(deck.now())));
-            news.withFlags("table", vessels);
+            if (l.tableVersion == 0) {
+                news.with("whole", packedTable());
+                news.with("want", l.poll.number("sum") != 0 ? true : null);
+            } else {
+                List<Flag> vessels = new ArrayList<>();
+                register.newerThan(l.tableVersion).forEach(v -> vessels.add(v.toFlag(deck.now())));
+                news.withFlags("table", vessels);
+            }
         }
         l.waiting = false;
         deck.send(to, news);
     }
 
+    private FleetPlan plan() {
+        Map<String, Flag> polls = new HashMap<>();
+        leases.forEach((a, l) -> polls.put(a, l.poll));
+        return FleetPlan.of(nodesVersion, polls);
+    }
+
+    private byte[] packedText() {
+        if (packedRevision != watch.committedRevision()) {
+            packedText = Bale.pack(watch.committedText());
+            packedRevision = watch.committedRevision();
+        }
+        return packedText;
+    }
+
+    /** The whole table as it goes to every node that has none; warm-up times in it are a moment old at the most. */
+    private byte[] packedTable() {
+        long now = deck.now();
+        if (packedVersion != register.version() || now - packedAt > 1_000_000) {
+            List<Flag> vessels = new ArrayList<>();
+            register.newerThan(0).forEach(v -> vessels.add(v.toFlag(now)));
+            packedTable = Bale.pack(new Flag("table").withFlags("table", vessels));
+            packedVersion = register.version();
+            packedAt = now;
+        }
+        return packedTable;
+    }
+
     // ------------------------------------------------------------------ time
 
     void tick() {
@@ -212,6 +275,10 @@
         }
         checkDrains();
         membership(now);
+        if (now - chandleryTicked > 1_000_000) {
+            chandleryTicked = now;
+            chandlery.tick(now);
+        }
     }
 
     /** Takes in new disks and puts out dead members, one at a time. */
@@ -286,23 +353,16 @@
             case "claim" -> claim(ask, reply);
             case "free" -> {
                 Claim c = watch.hold().claim(ask.text("key"));
-                if (c != null && c.token.equals(ask.text("token")) && c.holder == null) {
+                if (c != null && c.token().equals(ask.text("token"))) {
                     watch.propose(new Flag("free").with("key", ask.text("key")).with("token", ask.text("token")),
                             () -> { });
                 }
                 reply.accept(new Flag("reply"));
             }
-            case "done" -> {
-                watch.hold().noteHolder(ask.text("key"), ask.text("token"), ask.text("holder"));
-                watch.tellBackup(new Flag("told").with("key", ask.text("key")).with("token", ask.text("token"))
-                        .with("holder", ask.text("holder")));
-                reply.accept(new Flag("reply"));
-            }
-            case "unknown" -> {
-                watch.hold().markUnknown(ask.text("key"), ask.text("token"));
-                watch.tellBackup(new Flag("toldunknown").with("key", ask.text("key"))
-                        .with("token", ask.text("token")));
-                reply.accept(new Flag("reply"));
+            case "lend" -> {
+                List<Flag> lent = new ArrayList<>();
+                ask.flags("tenants").forEach(t -> lent.add(lend(ask, t)));
+                reply.accept(new Flag("reply").with("term", term).withFlags("lent", lent));
             }
             case "beat" -> beat(ask, reply);
             case "beats" -> {
@@ -321,40 +381,70 @@
         }
     }
 
+    /** Reads the limits in force for the quotas. */
+    private void stock() {
+        if (watch.committedText() == null) {
+            return;
+        }
+        try {
+            chandlery.configured(ConfigurationReader.read(Fields.parse(watch.committedText())), deck.now());
+        } catch (ChartException e) {
+            deck.event("event=configuration_unreadable revision=" + watch.committedRevision() + " cause="
+                    + e.getMessage());
+        }
+    }
+
+    /** One tenant's part of an ask for tokens. */
+    private Flag lend(Flag ask, Flag tenant) {
+        Flag out = new Flag("lent").with("tenant", tenant.text("tenant"));
+        long now = deck.now();
+        if (!watch.mayGive()) {
+            return out.with("count", 0).with("again", Math.max(50_000, watch.givingFrom() - now));
+        }
+        boolean known = ask.number("term") == term;
+        Chandlery.Lent l = chandlery.lend(tenant.text("tenant"), ask.number("life"),
+                known ? tenant.number("used") : 0, known ? tenant.number("returned") : 0,
+                (int) tenant.number("need"), (int) tenant.number("spare"), now);
+        // A new owner's buckets are empty for a while: what they lack then says nothing about the tenant.
+        boolean settled = now - watch.givingFrom() > EMPTY_AT_FIRST;
+        return out.with("count", l.count()).with("again", l.againMicros())
+                .with("over", l.over() && settled ? true : null);
+    }
+
     private void claim(Flag ask, Consumer<Flag> reply) {
         String key = ask.text("key");
         String token = ask.text("token");
         Claim c = watch.hold().claim(key);
-        if (c != null && c.token.equals(token)) {
-            List<Consumer<Flag>> pending = claimsInWriting.get(token);
-            if (pending != null) {
-                pending.add(reply);
-            } else {
-                reply.accept(new Flag("reply").with("granted", true));
-            }
+        List<Consumer<Flag>> pending = claimsInWriting.get(token);
+        if (pending != null) {
+            pending.add(reply);
             return;
         }
         if (c != null) {
-            reply.accept(new Flag("reply").with("holder", c.holder).with("run", c.token)
-                    .with("unknown", c.unknown ? true : null)
-                    .with("busy", c.holder == null && !c.unknown ? true : null));
+            reply.accept(c.token().equals(token) ? new Flag("reply").with("granted", true)
+                    : new Flag("reply").with("holder", c.holder()).with("run", c.token()));
             return;
         }
-        List<Consumer<Flag>> pending = claimsInWriting.get(token);
-        if (pending != null) {
-            pending.add(reply);
+        Flag lent = ask.has("tenant") ? lend(ask, ask.flag("tenant")) : null;
+        if (lent != null && lent.number("count") == 0) {
+            reply.accept(new Flag("reply").with("term", term).with("lent", lent));
             return;
         }
         claimsInWriting.put(token, new ArrayList<>(List.of(reply)));
-        boolean taken = watch.propose(new Flag("claim").with("key", key).with("token", token), () -> {
-            List<Consumer<Flag>> replies = claimsInWriting.remove(token);
-            Claim now = watch.hold().claim(key);
-            // While an epoch was changing, two claims of one key may both have waited: the last written holds it.
-            boolean mine = now != null && now.token.equals(token);
-            if (replies != null) {
-                replies.forEach(r -> r.accept(new Flag("reply").with(mine ? "granted" : "busy", true)));
-            }
-        });
+        boolean taken = watch.propose(new Flag("claim").with("key", key).with("token", token)
+                .with("holder", ask.text("holder")), () -> {
+                    List<Consumer<Flag>> replies = claimsInWriting.remove(token);
+                    Claim now = watch.hold().claim(key);
+                    // While an epoch was changing, two claims of one key may both have waited: the last written
+                    // holds it.
+                    boolean mine = now != null && now.token().equals(token);
+                    Flag r = mine ? new Flag("reply").with("granted", true).with("term", term).with("lent", lent)
+                            : new Flag("reply").with("holder", now == null ? null : now.holder())
+                                    .with("run", now == null ? null : now.token());
+                    if (replies != null) {
+                        replies.forEach(x -> x.accept(r));
+                    }
+                });
         if (!taken) {
             claimsInWriting.remove(token);
         }
@@ -404,7 +494,8 @@
         List<DrainWait> ready = new ArrayList<>();
         while (it.hasNext()) {
             DrainWait d = it.next();
-            if (d.durable && (d.version <= confirmed || deck.now() > d.deadline)) {
+            boolean everywhere = d.version <= confirmed && deck.now() - beganAt > ALL_POLLED;
+            if (d.durable && (everywhere || deck.now() > d.deadline)) {
                 it.remove();
                 ready.add(d);
             }
@@ -470,7 +561,9 @@
                 .with("digest", digest), () -> {
                     writing = null;
                     lastChange = kind.equals("modify")
-                            ? new Flag("change").with("base", base).with("rev", revision).with("change", text) : null;
+                            ? new Flag("change").with("base", base).with("rev", revision)
+                                    .with("change", Bale.pack(text)) : null;
+                    stock();
                     deck.event("event=configuration_taken revision=" + revision + " base=" + base);
                     w.replies.forEach(r -> r.accept(verdict(200, null)));
                     newsDue();
@@ -489,6 +582,7 @@
         register.newerThan(0).forEach(v -> vessels.add(v.toFlag(deck.now())));
         return new Flag("reply").with("confirmed", confirmed).with("record", r.toFlag())
                 .with("rev", watch.committedRevision()).with("claims", watch.hold().claimCount())
-                .withFlags("nodes", nodes).withFlags("workers", vessels);
+                .withFlags("nodes", nodes).withFlags("workers", vessels)
+                .withFlags("quotas", chandlery.status(deck.now()));
     }
 }
--- a/src/main/java/org/otterpond/harbour/Hold.java
+++ b/src/main/java/org/otterpond/harbour/Hold.java
@@ -1,6 +1,7 @@
 package org.otterpond.harbour;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,8 +14,6 @@
  */
 final class Hold {
     private static final int HISTORY = 64;
-    private static final String UNKNOWN = "?";
-
     private static final long ENDED_KEPT = 60_000_000;
 
     private record Known(Flag worker, long since) {}
@@ -26,6 +25,8 @@
     private final List<Flag> history = new ArrayList<>();
     private final Map<String, Known> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Claim> claims = new LinkedHashMap<>();
+    /** One text for each node, however many claims it has. */
+    private final Map<String, String> holders = new HashMap<>();
 
     Hold(long windowMicros) {
         this.windowMicros = windowMicros;
@@ -68,11 +69,11 @@
         switch (entry.kind()) {
             case "claim" -> {
                 claims.remove(entry.text("key"));
-                claims.put(entry.text("key"), new Claim(entry.text("token"), now));
+                put(entry.text("key"), entry.text("token"), entry.text("holder"), now);
             }
             case "free" -> {
                 Claim c = claims.get(entry.text("key"));
-                if (c != null && c.token.equals(entry.text("token"))) {
+                if (c != null && c.token().equals(entry.text("token"))) {
                     claims.remove(entry.text("key"));
                 }
             }
@@ -89,20 +90,9 @@
         }
     }
 
-    /** Notes which node holds the first run's answer. */
-    void noteHolder(String key, String token, String holder) {
-        Claim c = claims.get(key);
-        if (c != null && c.token.equals(token)) {
-            c.holder = holder;
-            c.unknown = false;
-        }
-    }
-
-    void markUnknown(String key, String token) {
-        Claim c = claims.get(key);
-        if (c != null && c.token.equals(token) && c.holder == null) {
-            c.unknown = true;
-        }
+    private void put(String key, String token, String holder, long now) {
+        String at = holder == null ? "" : holder;
+        claims.put(key, new Claim(token, holders.computeIfAbsent(at, h -> h), now));
     }
 
     /** Forgets claims whose window has passed. Claims stand in the order in which they were learnt. */
@@ -112,7 +102,7 @@
         Iterator<Map.Entry<String, Claim>> it = claims.entrySet().iterator();
         while (it.hasNext()) {
             Claim c = it.next().getValue();
-            if (now - c.since <= windowMicros) {
+            if (now - c.since() <= windowMicros) {
                 return;
             }
             it.remove();
@@ -124,8 +114,8 @@
         List<Object> keys = new ArrayList<>(claims.size() * 3);
         claims.forEach((k, c) -> {
             keys.add(k);
-            keys.add(c.token);
-            keys.add(c.holder == null ? c.unknown ? UNKNOWN : "" : c.holder);
+            keys.add(c.token());
+            keys.add(c.holder());
         });
         return new Flag("state").with("rev", revision).with("text", text).withFlags("history", history)
                 .withFlags("workers", workers()).with("claims", keys);
@@ -142,11 +132,7 @@
         claims.clear();
         List<Object> keys = state.list("claims");
         for (int i = 0; i + 2 < keys.size(); i += 3) {
-            Claim c = new Claim((String) keys.get(i + 1), now);
-            String holder = (String) keys.get(i + 2);
-            c.unknown = holder.equals(UNKNOWN);
-            c.holder = holder.isEmpty() || c.unknown ? null : holder;
-            claims.put((String) keys.get(i), c);
+            put((String) keys.get(i), (String) keys.get(i + 1), (String) keys.get(i + 2), now);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/otterpond/harbour/QuotaTerms.java
@@ -0,0 +1,20 @@
+package org.otterpond.harbour;
+
+/**
+ * What the deployment allows of a tenant in a window beyond its limit, and for how long tokens are lent.
+ *
+ * <p>Allowed in any window: (rate x window + burst) x (1 + excess) + slack. The bucket accounts for the first factor
+ * without the excess; what may be out with the nodes unspent accounts for the rest. At most three owners' tokens can be
+ * out at a time (two by the order of takeovers, a third only after a restart forgot when the one before began), so
+ * each lends a third.
+ */
+public record QuotaTerms(long windowMicros, double excess, double slack, long lentMicros) {
+    private static final double OWNERS = 3;
+
+    /** The most tokens of a tenant that may be out with the nodes, neither reported spent nor expired. */
+    int mostOut(double ratePerSecond, double burst) {
+        double allowance = excess * (ratePerSecond * windowMicros / 1e6 + burst) + slack;
+        // One is kept back: a bucket holds a whole token even where the burst is smaller.
+        return (int) Math.max(1, Math.floor((allowance - 1) / OWNERS));
+    }
+}
--- a/src/main/java/org/otterpond/harbour/Register.java
+++ b/src/main/java/org/otterpond/harbour/Register.java
@@ -15,6 +15,8 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long version;
     private long since;
+    private long sum;
+    private long sumVersion = -1;
 
     static final class Entry {
         Vessel vessel;
@@ -36,6 +38,16 @@
         return version;
     }
 
+    /** A sum over the workers alive; another table with the same sum is the same. */
+    long sum() {
+        if (sumVersion != version) {
+            sum = 0;
+            entries.values().forEach(e -> sum += e.vessel.sum());
+            sumVersion = version;
+        }
+        return sum;
+    }
+
     Vessel get(String id) {
         Entry e = entries.get(id);
         return e == null ? null : e.vessel;
--- a/src/main/java/org/otterpond/harbour/Shore.java
+++ b/src/main/java/org/otterpond/harbour/Shore.java
@@ -1,6 +1,6 @@
 package org.otterpond.harbour;
 
-import java.util.List;
+import java.util.Map;
 import org.otterpond.chart.Configuration;
 import org.otterpond.signal.Flag;
 
@@ -10,9 +10,12 @@
 
     void worker(Vessel vessel);
 
-    /** The zones of the nodes that hold a lease, one entry a node. */
-    void nodes(List<String> zones);
+    /** How many nodes hold a lease in each zone, and this node's place among those of its own. */
+    void fleet(Map<String, Integer> nodesInZone, int rank);
 
-    /** The answer that this node keeps of that run, or null. */
-    Flag keptAnswer(String key, String token);
+    /**
+     * How the run of that claim went, as this node knows: "answer" with the answer kept, "working", "unknown" if it
+     * may have run without a known outcome; null if nothing is known of it.
+     */
+    Flag outcome(String key, String token);
 }
--- a/src/main/java/org/otterpond/harbour/Vessel.java
+++ b/src/main/java/org/otterpond/harbour/Vessel.java
@@ -1,5 +1,7 @@
 package org.otterpond.harbour;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import org.otterpond.signal.Flag;
 
 /** One life of a worker, as its newest beat told it. Times in microseconds of the reading node's monotonic clock. */
@@ -43,6 +45,15 @@
         return news;
     }
 
+    /** A number by which whole tables are compared; 0 for a life that is over. */
+    long sum() {
+        if (state.compareTo(VesselState.LOST) >= 0) {
+            return 0;
+        }
+        return Hashing.murmur3_128().hashString(id + "\n" + state + "\n" + service + "\n" + address + "\n" + slots,
+                StandardCharsets.UTF_8).asLong();
+    }
+
     /** Whether delivering this instead of {@code old} tells anybody anything. */
     public boolean differs(Vessel old) {
         return old == null || old.state != state || old.slots != slots || !old.address.equals(address)
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -1,6 +1,7 @@
 package org.otterpond.harbour;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,8 +15,9 @@
  * The core's epoch machine on one disk-bearing node: witness always, and primary or backup when an epoch names it.
  *
  * <p>An epoch begins only when a majority of the old and of the new members hold its record durably. An entry is
- * committed once it is durable on the epoch's primary and backup. Only a member of the newest pair may begin a new
- * epoch, and it copies its whole state to the new backup before any witness is asked to accept the record.
+ * committed once it is durable on the epoch's primary and on each of its backups. Only a member of the newest group may
+ * begin a new epoch, and it copies its whole state to the backups it names before any witness is asked to accept the
+ * record. There are as many backups as losses are to be borne, so one of a group always remains.
  */
 public final class Watch {
     private static final int EPOCH_STEP = 64;
@@ -25,6 +27,8 @@
     private final WatchListener listener;
     private final Berth self;
     private final Hold hold;
+    /** How many disks may be lost at once, which is how many backups an epoch has. */
+    private final int faults;
 
     // Durable, as in the journal.
     private long promised;
@@ -43,22 +47,30 @@
     private final TreeMap<Long, Batch> batches = new TreeMap<>();
     private Batch open;
     private final List<Batch> waiting = new ArrayList<>();
-    private long backupHeard;
+    private final Map<String, Long> backupHeard = new HashMap<>();
+    /** For each backup, when the newest question was asked that it answered as a follower of this epoch. */
+    private final Map<String, Long> followedAt = new HashMap<>();
     private long lastPing;
     private final Map<String, Long> memberHeard = new HashMap<>();
-    private final Map<Long, Consumer<Boolean>> confirms = new HashMap<>();
+    private final Map<Long, Confirmation> confirms = new HashMap<>();
     private long confirmNumber;
     private long committedRevision;
     private String committedText;
 
     // As backup.
+    /** Until then another may still act on its authority as primary. */
+    private long quietUntil;
+    /** When, at the latest, the primary before began to give out what stays in use for a while. */
+    private long formerSince = Long.MIN_VALUE / 2;
+    /** From then on this node may, as primary, give out such things. */
+    private long givingFrom;
     private long lastSeq;
     private long primaryHeard;
 
     private Candidacy candidacy;
     private long nextRun;
     private long lastGossip;
-    private String excludedBackup;
+    private final Set<String> excluded = new HashSet<>();
     private boolean diskBad;
     private boolean retired;
     private long oldestPendingWrite;
@@ -68,11 +80,21 @@
         final List<Flag> entries = new ArrayList<>();
         final List<Runnable> committed = new ArrayList<>();
         boolean local;
-        boolean remote;
+        /** The backups that hold it durably. */
+        final Set<String> at = new HashSet<>();
         long sentAt;
         long madeAt;
     }
 
+    private static final class Confirmation {
+        final Set<String> missing = new HashSet<>();
+        final Consumer<Boolean> answer;
+
+        Confirmation(Consumer<Boolean> answer) {
+            this.answer = answer;
+        }
+    }
+
     private static final class Candidacy {
         long epoch;
         long startedAt;
@@ -82,18 +104,22 @@
         List<Berth> members;
         EpochRecord base;
         EpochRecord proposal;
-        Berth backup;
+        List<Berth> backups = List.of();
+        final Set<String> copied = new HashSet<>();
         final Map<String, EpochRecord> promises = new HashMap<>();
         final Set<String> accepts = new HashSet<>();
     }
 
-    public Watch(Deck deck, WatchTimes times, WatchListener listener, Berth self, Hold hold) {
+    public Watch(Deck deck, WatchTimes times, WatchListener listener, Berth self, Hold hold, int faults) {
+        this.faults = faults;
         this.deck = deck;
         this.times = times;
         this.listener = listener;
         this.self = self;
         this.hold = hold;
         this.primaryHeard = deck.now();
+        // What an earlier life of this process said is not known any more.
+        this.quietUntil = deck.now() + times.authority();
         this.nextRun = deck.now() + 20_000 + deck.random(30_000);
     }
 
@@ -139,7 +165,7 @@
 
     /**
      * Whether this node may commit. A primary that has promised a newer epoch, even its own, commits nothing until
-     * that epoch has begun: a witness may already hold a record whose backup lacks what would be committed now.
+     * that epoch has begun: a witness may already hold a record whose backups lack what would be committed now.
      */
     public boolean leading() {
         return leading && candidacy == null && begun == record.epoch() && promised == begun;
@@ -173,16 +199,20 @@
     }
 
     /**
-     * The connection to a node was closed from there. If it is the other of the pair, it is given a moment to be
+     * The connection to a node was closed from there. If it is another of the group, it is given a moment to be
      * heard again, as after a mere reset, in place of the whole time that silence would be given.
      */
     public void peerClosed(String address) {
-        if (record == null || !known.inPair(self.diskId())) {
+        if (record == null || !known.inGroup(self.diskId())) {
             return;
         }
         long now = deck.now();
-        if (leading() && record.backup() != null && record.backup().address().equals(address)) {
-            backupHeard = Math.min(backupHeard, now - times.backupSilence() + times.closedGrace());
+        if (leading()) {
+            for (Berth b : record.backups()) {
+                if (b.address().equals(address)) {
+                    backupHeard.merge(b.diskId(), now - times.backupSilence() + times.closedGrace(), Math::min);
+                }
+            }
         } else if (!leading && known.primary().address().equals(address)) {
             primaryHeard = Math.min(primaryHeard, now - times.primarySilence() + times.closedGrace());
         }
@@ -233,11 +263,13 @@
             lastGossip = now;
             tellMembers(new Flag("rec").with("record", known.toFlag()));
         }
-        if (diskBad || retired || !known.inPair(self.diskId()) || now < nextRun) {
+        if (diskBad || retired || !known.inGroup(self.diskId()) || now < nextRun) {
             return;
         }
         boolean namedPrimary = known.primary().diskId().equals(self.diskId());
-        if (leading || namedPrimary || now - primaryHeard > times.primarySilence()) {
+        // The backups take their turns, so that they do not outbid each other.
+        long patience = times.primarySilence() + Math.max(0, known.rankOf(self.diskId())) * times.rankStep();
+        if (leading || namedPrimary || now - primaryHeard > patience) {
             run(known.members());
         }
     }
@@ -251,30 +283,73 @@
     }
 
     private void tickPrimary(long now) {
-        boolean stuck = !batches.isEmpty() && !batches.firstEntry().getValue().remote
-                && now - batches.firstEntry().getValue().madeAt > times.diskStall();
-        if (record.backup() != null && (stuck || now - backupHeard > times.backupSilence())) {
-            deck.event("event=backup_lost epoch=" + record.epoch() + " backup=" + record.backup().name()
-                    + " why=" + (stuck ? "no_sync" : "silence"));
-            excludedBackup = record.backup().diskId();
+        Batch oldest = batches.isEmpty() ? null : batches.firstEntry().getValue();
+        boolean late = oldest != null && now - oldest.madeAt > times.diskStall();
+        boolean lost = false;
+        for (Berth b : record.backups()) {
+            boolean stuck = late && !oldest.at.contains(b.diskId());
+            if (stuck || now - backupHeard.getOrDefault(b.diskId(), 0L) > times.backupSilence()) {
+                deck.event("event=backup_lost epoch=" + record.epoch() + " backup=" + b.name()
+                        + " why=" + (stuck ? "no_sync" : "silence"));
+                excluded.add(b.diskId());
+                lost = true;
+            }
+        }
+        if (lost) {
             run(record.members());
             return;
         }
         for (Map.Entry<Long, Batch> e : batches.entrySet()) {
             Batch b = e.getValue();
-            if (!b.remote && now - b.sentAt > times.resend()) {
+            if (b.at.size() < record.backups().size() && now - b.sentAt > times.resend()) {
                 ship(e.getKey(), b);
             }
         }
         if (now - lastPing >= times.ping()) {
             lastPing = now;
-            tellMembers(new Flag("ping").with("epoch", record.epoch()).with("fleet", record.fleet()));
+            tellMembers(ping(now));
         }
     }
 
+    private Flag ping(long now) {
+        return new Flag("ping").with("epoch", record.epoch()).with("fleet", record.fleet()).with("at", now);
+    }
+
+    /**
+     * The newest moment at which this node is known to have been the only one that could lead; the distant past if it
+     * does not lead. A successor comes out of the epoch's backups, and each of them followed it when asked then.
+     */
+    public long followedSince() {
+        if (!leading()) {
+            return Long.MIN_VALUE / 2;
+        }
+        long at = deck.now();
+        for (Berth b : record.backups()) {
+            at = Math.min(at, followedAt.getOrDefault(b.diskId(), Long.MIN_VALUE / 2));
+        }
+        return at;
+    }
+
+    /**
+     * Whether this node may give out, as primary and without asking, what stays in use for {@code lent}: its authority
+     * is fresh, no earlier primary's can be, and what the one before the last gave out is in use no more. So what at
+     * most two primaries gave out is in use at any time.
+     */
+    public boolean mayGive() {
+        return deck.now() - followedSince() < times.authority() && deck.now() >= givingFrom;
+    }
+
+    public long givingFrom() {
+        return givingFrom;
+    }
+
+    private long nextGivingFrom() {
+        return Math.max(quietUntil, formerSince + times.lent());
+    }
+
     // ------------------------------------------------------------ as primary
 
-    /** Adds an entry; the callback runs once it is durable on primary and backup. False if this node does not lead. */
+    /** Adds an entry; the callback runs once it is durable on the whole group. False if this node does not lead. */
     public boolean propose(Flag entry, Runnable committed) {
         if (!leading) {
             return false;
@@ -296,17 +371,13 @@
         return true;
     }
 
+    /** One batch is on its way at a time; what comes meanwhile goes together in the next. */
     private void closeBatch() {
-        if (open == null || !leading()) {
+        if (open == null || !leading() || !batches.isEmpty()) {
             return;
         }
         long n = ++seq;
-        Batch b = journalOpen(n);
-        if (record.backup() == null) {
-            b.remote = true;
-        } else {
-            ship(n, b);
-        }
+        ship(n, journalOpen(n));
     }
 
     /** Journals the open batch under its number. Its place in the journal is before anything written later. */
@@ -334,19 +405,24 @@
 
     private void ship(long n, Batch b) {
         b.sentAt = deck.now();
-        deck.send(record.backup().address(),
-                new Flag("rep").with("epoch", record.epoch()).with("seq", n).withFlags("entries", b.entries));
+        Flag rep = new Flag("rep").with("epoch", record.epoch()).with("seq", n).withFlags("entries", b.entries);
+        for (Berth backup : record.backups()) {
+            if (!b.at.contains(backup.diskId())) {
+                deck.send(backup.address(), rep);
+            }
+        }
     }
 
     private void settle() {
         while (!batches.isEmpty()) {
             Batch b = batches.firstEntry().getValue();
-            if (!b.local || !b.remote) {
+            if (!b.local || b.at.size() < record.backups().size()) {
                 return;
             }
             batches.pollFirstEntry();
             commit(b);
         }
+        closeBatch();
     }
 
     private void commit(Batch b) {
@@ -365,39 +441,35 @@
             answer.accept(false);
             return;
         }
-        if (record.backup() == null) {
+        if (record.backups().isEmpty()) {
             answer.accept(true);
             return;
         }
         long n = ++confirmNumber;
-        confirms.put(n, answer);
-        deck.send(record.backup().address(), new Flag("conf").with("epoch", record.epoch()).with("n", n));
+        Confirmation c = new Confirmation(answer);
+        confirms.put(n, c);
+        for (Berth b : record.backups()) {
+            c.missing.add(b.diskId());
+            deck.send(b.address(), new Flag("conf").with("epoch", record.epoch()).with("n", n));
+        }
         deck.after(700_000, () -> {
-            Consumer<Boolean> late = confirms.remove(n);
-            if (late != null) {
-                late.accept(false);
+            if (confirms.remove(n) != null) {
+                answer.accept(false);
             }
         });
     }
 
-    /** Hands an outcome that needs no sync to the backup. */
-    public void tellBackup(Flag told) {
-        if (leading() && record.backup() != null) {
-            deck.send(record.backup().address(), told);
-        }
-    }
-
     /** Before a planned end: no duty is taken any more, and one that is held is handed over. */
     public void retire() {
         retired = true;
         if (leading) {
             resign();
-        } else if (known != null && known.backup() != null && known.backup().diskId().equals(self.diskId())) {
+        } else if (known != null && known.rankOf(self.diskId()) >= 0) {
             deck.send(known.primary().address(), new Flag("bow").with("id", self.diskId()));
         }
     }
 
-    /** Gives the duty to the backup, which begins a new epoch. */
+    /** Gives the duty to the backups: the first of them that can begins a new epoch. */
     public void resign() {
         if (!leading) {
             return;
@@ -405,9 +477,8 @@
         EpochRecord r = record;
         stepDown("resigned");
         nextRun = deck.now() + 2_500_000;
-        if (r.backup() != null) {
-            deck.send(r.backup().address(), new Flag("resign").with("epoch", r.epoch()));
-        }
+        Flag f = new Flag("resign").with("epoch", r.epoch()).with("quiet", Math.max(0, givingFrom - deck.now()));
+        r.backups().forEach(b -> deck.send(b.address(), f));
     }
 
     /** Asks for a new epoch with other members. */
@@ -429,7 +500,7 @@
         batches.clear();
         waiting.clear();
         open = null;
-        confirms.values().forEach(c -> deck.after(0, () -> c.accept(false)));
+        confirms.values().forEach(c -> deck.after(0, () -> c.answer.accept(false)));
         confirms.clear();
         primaryHeard = deck.now();
         listener.steppedDown();
@@ -480,8 +551,8 @@
             learn(theirs);
             c.base = theirs;
             c.members = theirs.members();
-            if (!theirs.inPair(self.diskId())) {
-                abandon("not_in_pair");
+            if (!theirs.inGroup(self.diskId())) {
+                abandon("not_in_group");
                 return;
             }
             askPromises(c, theirs);
@@ -495,10 +566,10 @@
             return;
         }
         long have = c.base.members().stream().filter(m -> c.promises.containsKey(m.diskId())).count();
-        boolean peerIn = c.base.members().stream().anyMatch(m -> !m.diskId().equals(self.diskId())
-                && !m.diskId().equals(excludedBackup) && c.base.inPair(m.diskId())
-                && c.promises.containsKey(m.diskId()));
-        if (have >= c.base.members().size() || have >= c.base.quorum() && peerIn) {
+        // The best that can be hoped for: nobody is left to wait for, or the group stays as it is.
+        boolean groupIn = have >= c.base.quorum() && usable(c).stream().filter(m -> c.base.inGroup(m.diskId())
+                && !excluded.contains(m.diskId())).count() >= copies(c);
+        if (have >= c.base.members().size() || groupIn) {
             choose(c);
         } else if (have >= c.base.quorum() && !c.settling) {
             c.settling = true;
@@ -506,37 +577,53 @@
         }
     }
 
+    /** How many backups the epoch must have: as many as losses are borne, as far as there are members. */
+    private int copies(Candidacy c) {
+        return Math.min(faults, c.members.size() - 1);
+    }
+
+    /** The members that answered and can be backups. */
+    private List<Berth> usable(Candidacy c) {
+        return c.base.members().stream().filter(m -> !m.diskId().equals(self.diskId())
+                && c.promises.containsKey(m.diskId()) && c.members.contains(m)).toList();
+    }
+
     private void choose(Candidacy c) {
         if (candidacy != c || c.copying || c.accepting) {
             return;
         }
-        c.copying = true;
-        Berth peer = null;
-        for (Berth m : c.base.members()) {
-            boolean usable = !m.diskId().equals(self.diskId()) && c.promises.containsKey(m.diskId())
-                    && c.members.contains(m);
-            boolean better = peer == null || (c.base.inPair(m.diskId()) && !m.diskId().equals(excludedBackup))
-                    || peer.diskId().equals(excludedBackup);
-            if (usable && better) {
-                peer = m;
-            }
-        }
-        if (peer == null && c.base.members().size() > 1) {
-            abandon("no_backup");
+        int copies = copies(c);
+        // Those with a doubtful disk last, those of the group before others.
+        List<Berth> by = new ArrayList<>(usable(c));
+        by.sort(Comparator.comparing((Berth m) -> excluded.contains(m.diskId()))
+                .thenComparing(m -> !c.base.inGroup(m.diskId())));
+        if (by.size() < copies) {
+            abandon("too_few_backups");
             return;
         }
-        c.backup = peer;
-        if (peer == null) {
+        c.copying = true;
+        c.backups = List.copyOf(by.subList(0, copies));
+        if (c.members.size() < 2 * faults + 1) {
+            deck.event("event=core_too_small members=" + c.members.size() + " losses_to_bear=" + faults);
+        }
+        if (c.backups.isEmpty()) {
             propose(c);
             return;
         }
-        deck.send(peer.address(), new Flag("snap").with("epoch", c.epoch).with("to", peer.diskId())
-                .with("state", hold.snapshot()).with("from", self.address()));
+        long now = deck.now();
+        long quiet = Math.max(0, quietUntil - now);
+        long gives = Math.max(0, (leading ? givingFrom : nextGivingFrom()) - now);
+        Flag state = hold.snapshot();
+        for (Berth b : c.backups) {
+            deck.send(b.address(), new Flag("snap").with("epoch", c.epoch).with("to", b.diskId())
+                    .with("state", state).with("quiet", quiet).with("gives", gives)
+                    .with("from", self.address()));
+        }
     }
 
     private void propose(Candidacy c) {
         c.accepting = true;
-        c.proposal = new EpochRecord(c.base.fleet(), c.epoch, self, c.backup, c.members, c.base.target());
+        c.proposal = new EpochRecord(c.base.fleet(), c.epoch, self, c.backups, c.members, c.base.target());
         EpochRecord p = c.proposal;
         accept(p, ok -> {
             if (ok && candidacy == c) {
@@ -564,20 +651,26 @@
 
     private void begin(Candidacy c) {
         candidacy = null;
-        excludedBackup = null;
+        excluded.clear();
+        boolean continued = leading;
+        if (!continued) {
+            givingFrom = nextGivingFrom();
+        }
         leading = true;
         begun = c.epoch;
         seq = 0;
         long now = deck.now();
-        backupHeard = now;
-        lastPing = 0;
+        backupHeard.clear();
+        followedAt.clear();
+        c.backups.forEach(b -> backupHeard.put(b.diskId(), now));
+        lastPing = now;
         c.proposal.members().forEach(m -> memberHeard.put(m.diskId(),
                 c.accepts.contains(m.diskId()) ? now : memberHeard.getOrDefault(m.diskId(), 0L)));
         known = c.proposal;
         committedRevision = hold.revision();
         committedText = hold.text();
-        deck.event("event=epoch_began epoch=" + c.epoch + " primary=" + self.name() + " backup="
-                + (c.backup == null ? "none" : c.backup.name()) + " members=" + c.members.size() + " claims="
+        deck.event("event=epoch_began epoch=" + c.epoch + " primary=" + self.name() + " backups="
+                + String.join(",", c.backups.stream().map(Berth::name).toList()) + " members=" + c.members.size() + " claims="
                 + hold.claimCount() + " revision=" + hold.revision());
         List<Batch> done = new ArrayList<>(batches.values());
         if (open != null) {
@@ -588,7 +681,8 @@
         List<Batch> later = new ArrayList<>(waiting);
         waiting.clear();
         done.forEach(this::commit);
-        listener.began(c.proposal);
+        listener.began(c.proposal, continued);
+        tellMembers(ping(now));
         for (Batch b : later) {
             propose(b.entries.get(0), b.committed.get(0));
         }
@@ -596,8 +690,12 @@
 
     private void abandon(String why) {
         deck.event("event=candidacy_abandoned epoch=" + candidacy.epoch + " why=" + why);
-        if (candidacy.copying && candidacy.backup != null && !candidacy.accepting) {
-            excludedBackup = candidacy.backup.diskId();
+        if (candidacy.copying && !candidacy.accepting) {
+            for (Berth b : candidacy.backups) {
+                if (!candidacy.copied.contains(b.diskId())) {
+                    excluded.add(b.diskId());
+                }
+            }
         }
         candidacy = null;
         if (leading && !known.primary().diskId().equals(self.diskId())) {
@@ -628,7 +726,10 @@
             case "snapok" -> {
                 Candidacy c = candidacy;
                 if (c != null && c.epoch == f.number("epoch") && c.copying && !c.accepting) {
-                    propose(c);
+                    c.copied.add(f.text("id"));
+                    if (c.backups.stream().allMatch(b -> c.copied.contains(b.diskId()))) {
+                        propose(c);
+                    }
                 }
             }
             case "acc" -> onAccept(f);
@@ -643,7 +744,9 @@
                 highestSeen = Math.max(highestSeen, f.number("promised"));
                 learn(EpochRecord.of(f.flag("record")));
                 if (leading() && record.epoch() == f.number("epoch")) {
-                    excludedBackup = f.truth("disk") ? f.text("id") : excludedBackup;
+                    if (f.truth("disk")) {
+                        excluded.add(f.text("id"));
+                    }
                     run(record.members());
                 }
             }
@@ -651,33 +754,41 @@
             case "pong" -> onPong(f);
             case "conf" -> {
                 if (record != null && record.epoch() == f.number("epoch") && promised == record.epoch()) {
-                    deck.send(from, new Flag("confd").with("epoch", f.number("epoch")).with("n", f.number("n")));
+                    deck.send(from, new Flag("confd").with("epoch", f.number("epoch")).with("n", f.number("n"))
+                            .with("id", self.diskId()));
                 }
             }
             case "confd" -> {
                 if (leading() && record.epoch() == f.number("epoch")) {
-                    Consumer<Boolean> c = confirms.remove(f.number("n"));
-                    if (c != null) {
-                        c.accept(true);
+                    Confirmation c = confirms.get(f.number("n"));
+                    if (c != null && c.missing.remove(f.text("id")) && c.missing.isEmpty()) {
+                        confirms.remove(f.number("n"));
+                        c.answer.accept(true);
                     }
                 }
             }
             case "bow" -> {
-                if (leading() && record.backup() != null && record.backup().diskId().equals(f.text("id"))) {
-                    excludedBackup = f.text("id");
+                if (leading() && record.rankOf(f.text("id")) >= 0) {
+                    excluded.add(f.text("id"));
                     run(record.members());
                 }
             }
             case "resign" -> {
-                if (!leading && candidacy == null && record != null && record.epoch() == f.number("epoch")
-                        && known.inPair(self.diskId())) {
-                    excludedBackup = record.primary().diskId();
-                    run(known.members());
+                if (!leading && record != null && record.epoch() == f.number("epoch")
+                        && known.inGroup(self.diskId()) && !retired && !diskBad) {
+                    excluded.add(record.primary().diskId());
+                    // It has stopped acting as primary, and each backup is told so; they take their turns.
+                    quietUntil = deck.now() + f.number("quiet");
+                    long epoch = record.epoch();
+                    deck.after(record.rankOf(self.diskId()) * times.rankStep(), () -> {
+                        if (!leading && candidacy == null && !retired && !diskBad && known.epoch() == epoch
+                                && promised == epoch) {
+                            run(known.members());
+                        }
+                    });
                 }
             }
             case "rec" -> learn(EpochRecord.of(f.flag("record")));
-            case "told" -> hold.noteHolder(f.text("key"), f.text("token"), f.text("holder"));
-            case "toldunknown" -> hold.markUnknown(f.text("key"), f.text("token"));
             default -> {
                 return false;
             }
@@ -735,14 +846,17 @@
         }
         candidacy = null;
         Flag state = f.flag("state");
-        hold.load(state, deck.now());
+        long now = deck.now();
+        quietUntil = Math.max(quietUntil, now + f.number("quiet"));
+        formerSince = now + f.number("gives");
+        hold.load(state, now);
         committedRevision = hold.revision();
         committedText = hold.text();
-        primaryHeard = deck.now();
+        primaryHeard = now;
         write(new Flag("promise").with("epoch", e), ok -> { });
         write(state, ok -> {
             if (ok) {
-                deck.send(f.text("from"), new Flag("snapok").with("epoch", e));
+                deck.send(f.text("from"), new Flag("snapok").with("epoch", e).with("id", self.diskId()));
             } else {
                 diskFailed();
             }
@@ -829,11 +943,15 @@
         if (!leading() || record.epoch() != f.number("epoch")) {
             return;
         }
-        backupHeard = deck.now();
-        memberHeard.put(f.text("id"), backupHeard);
+        String id = f.text("id");
+        if (record.rankOf(id) < 0) {
+            return;
+        }
+        backupHeard.put(id, deck.now());
+        memberHeard.put(id, deck.now());
         Batch b = batches.get(f.number("seq"));
         if (b != null) {
-            b.remote = true;
+            b.at.add(id);
             settle();
         }
     }
@@ -847,10 +965,15 @@
             return;
         }
         long e = f.number("epoch");
+        boolean follows = false;
         if (e == record.epoch()) {
             primaryHeard = deck.now();
+            if (promised == e) {
+                follows = true;
+                quietUntil = Math.max(quietUntil, deck.now() + times.authority());
+            }
         }
-        deck.send(from, new Flag("pong").with("id", self.diskId()).with("epoch", record.epoch())
+        deck.send(from, new Flag("pong").with("at", follows ? f.number("at") : null).with("id", self.diskId()).with("epoch", record.epoch())
                 .with("promised", promised).with("disk", diskBad ? true : null)
                 .with("record", record.epoch() > e ? record.toFlag() : null));
     }
@@ -863,9 +986,12 @@
         long now = deck.now();
         String id = f.text("id");
         memberHeard.put(id, now);
-        boolean backup = record.backup() != null && record.backup().diskId().equals(id);
-        if (backup && !f.truth("disk") && f.number("promised") <= record.epoch()) {
-            backupHeard = now;
+        boolean follows = record.rankOf(id) >= 0 && f.number("promised") <= record.epoch();
+        if (follows && !f.truth("disk")) {
+            backupHeard.put(id, now);
+        }
+        if (follows && f.has("at") && f.number("epoch") == record.epoch()) {
+            followedAt.merge(id, f.number("at"), Math::max);
         }
         if (f.number("epoch") < record.epoch()) {
             for (Berth m : record.members()) {
--- a/src/main/java/org/otterpond/harbour/WatchListener.java
+++ b/src/main/java/org/otterpond/harbour/WatchListener.java
@@ -2,7 +2,8 @@
 
 /** Told when this node's part in the core changes. */
 public interface WatchListener {
-    void began(EpochRecord record);
+    /** An epoch led by this node began; continued if it led the one before and nobody else can have led between. */
+    void began(EpochRecord record, boolean continued);
 
     void steppedDown();
 
--- a/src/main/java/org/otterpond/keel/HarbourOffice.java
+++ b/src/main/java/org/otterpond/keel/HarbourOffice.java
@@ -31,9 +31,12 @@
 
     private final HarbourNode node;
     private final MetricsPage metrics;
+    /** All nodes of a deployment listen at the same ports. */
+    private final String controlPort;
 
-    HarbourOffice(HarbourNode node, MetricsPage metrics) {
+    HarbourOffice(HarbourNode node, MetricsPage metrics, String controlPoint) {
         this.node = node;
+        this.controlPort = controlPoint.substring(controlPoint.lastIndexOf(':'));
         this.metrics = metrics;
     }
 
@@ -98,10 +101,20 @@
     }
 
     private void acknowledge(Call call, Vessel v) {
-        node.beat(v, ok -> call.answer(ok ? Replies.json(200, "{}")
+        node.beat(v, ok -> call.answer(ok ? Replies.json(200, acknowledgement(v))
                 : Replies.unavailable("the primary did not confirm it", 0.1)));
     }
 
+    private String acknowledgement(Vessel v) {
+        String beacon = v.state() == VesselState.IN_SERVICE ? node.beacon(v.zone(), v.id()) : null;
+        if (beacon == null) {
+            return "{}";
+        }
+        JsonObject o = new JsonObject();
+        o.addProperty("heartbeat_target", beacon.substring(0, beacon.lastIndexOf(':')) + controlPort);
+        return o.toString();
+    }
+
     // -------------------------------------------------------------- operator
 
     private void ask(Call call, Flag f, long time, Consumer<Flag> use) {
@@ -147,13 +160,16 @@
             o.addProperty("confirmed", r.truth("confirmed"));
             o.addProperty("epoch", e.epoch());
             o.addProperty("primary", e.primary().name());
-            o.addProperty("backup", e.backup() == null ? null : e.backup().name());
+            JsonArray backups = new JsonArray();
+            e.backups().forEach(b -> backups.add(b.name()));
+            o.add("backups", backups);
             JsonArray members = new JsonArray();
             e.members().forEach(m -> members.add(m.name()));
             o.add("core", members);
             o.addProperty("revision", r.number("rev"));
             o.addProperty("claims", r.number("claims"));
             o.add("nodes", rows(r, "nodes", "name", "addr", "cfg"));
+            o.add("quotas", rows(r, "quotas", "name", "rate", "burst", "tokens", "out", "granted", "denied"));
             o.add("workers", rows(r, "workers", "id", "service", "addr", "zone", "state", "slots"));
             call.answer(Replies.json(200, o.toString()));
         });
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -9,7 +9,10 @@
 import org.otterpond.chart.ChartException;
 import org.otterpond.chart.Settings;
 import org.otterpond.harbour.HarbourNode;
+import org.otterpond.harbour.HarbourTerms;
 import org.otterpond.harbour.NodeIdentity;
+import org.otterpond.harbour.QuotaTerms;
+import org.otterpond.harbour.WatchTimes;
 import org.otterpond.logbook.Logbook;
 import org.otterpond.logbook.LogbookException;
 import org.otterpond.quay.Call;
@@ -68,7 +71,9 @@
         pilotage = new Pilotage(quay, settings, shore -> new HarbourNode(deck,
                 new NodeIdentity(settings.internalAddress(), settings.nodeName(), settings.zone(), id, isBlank,
                         settings.initialStart(), settings.seedAddresses(), life),
-                shore, settings.heartbeatMicros(), settings.keyWindowMicros()), life, tally);
+                shore, new HarbourTerms(settings.heartbeatMicros(), settings.keyWindowMicros(), settings.faults(),
+                        new QuotaTerms(settings.quotaWindowMicros(), settings.quotaExcess(), settings.quotaSlack(),
+                                WatchTimes.standard().lent()))), life, tally);
         HarbourNode node = pilotage.node();
         Links links = new Links(quay, settings.internalAddress(), node::onMessage, node::peerLost);
         deck.fit(links, logbook == null ? null : new Purser(quay, logbook, id, node::journalBase));
@@ -113,7 +118,7 @@
             new FrontDoor(quay, new Readiness(), Links.address(settings.readinessPoint()), 64, 1024);
         }
         if (settings.controlPoint() != null) {
-            new FrontDoor(quay, new HarbourOffice(node, new MetricsPage(tally, pilotage, node)),
+            new FrontDoor(quay, new HarbourOffice(node, new MetricsPage(tally, pilotage, node), settings.controlPoint()),
                     Links.address(settings.controlPoint()), 400, 16L << 20);
         }
     }
--- a/src/main/java/org/otterpond/keel/MetricsPage.java
+++ b/src/main/java/org/otterpond/keel/MetricsPage.java
@@ -10,6 +10,7 @@
 import org.otterpond.cargo.Tally;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.quay.Missive;
+import org.otterpond.quay.Quay;
 
 /** The metrics, by Micrometer. The registry is made when it is first asked for, to keep a quiet node small. */
 final class MetricsPage {
@@ -44,6 +45,11 @@
         count(r, "otterpond.refusals", "Requests refused unrun", tally.refused);
         count(r, "otterpond.timeouts", "Requests that reached their deadline", tally.timeouts);
         count(r, "otterpond.replays", "Repeats answered from the ledger", tally.replays);
+        count(r, "otterpond.requests.unauthorised", "Requests without a key that a tenant holds", tally.unauthorised);
+        count(r, "otterpond.requests.stale", "Requests refused as keys may have been withdrawn unheard", tally.stale);
+        count(r, "otterpond.requests.over_quota", "Requests beyond their tenant's quota", tally.overQuota);
+        Gauge.builder("otterpond.configuration.confirmed.age", node, n -> (Quay.now() - n.freshAt()) / 1e6)
+                .baseUnit("seconds").register(r);
         Gauge.builder("otterpond.requests.open", pilotage, Pilotage::open).register(r);
         Gauge.builder("otterpond.configuration.revision", node, n -> n.revision()).register(r);
         Gauge.builder("otterpond.epoch", node, n -> n.known() == null ? 0 : n.known().epoch()).register(r);
--- a/src/main/java/org/otterpond/quay/Replies.java
+++ b/src/main/java/org/otterpond/quay/Replies.java
@@ -20,7 +20,16 @@
 
     /** A promise that the request has not run and never will, with a time to come back after. */
     public static Missive unavailable(String cause, double retryAfterSeconds) {
-        return problem(503, cause).header("Retry-After", String.format(java.util.Locale.ROOT, "%.3f",
+        return later(503, cause, retryAfterSeconds);
+    }
+
+    /** The same promise, where it is the caller who asks for more than it may. */
+    public static Missive overQuota(String cause, double retryAfterSeconds) {
+        return later(429, cause, retryAfterSeconds);
+    }
+
+    private static Missive later(int status, String cause, double retryAfterSeconds) {
+        return problem(status, cause).header("Retry-After", String.format(java.util.Locale.ROOT, "%.3f",
                 retryAfterSeconds));
     }
 }
--- a/src/test/java/org/otterpond/sim/FleetFaultsTest.java
+++ b/src/test/java/org/otterpond/sim/FleetFaultsTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -16,7 +18,11 @@
     private static final long S = 1_000_000;
 
     private static SimFleet founded(long seed) {
-        SimFleet f = new SimFleet(seed, 4, 4);
+        return founded(seed, 4, 1);
+    }
+
+    private static SimFleet founded(long seed, int disks, int faults) {
+        SimFleet f = new SimFleet(seed, disks, 4, faults);
         f.world.run(9 * S);
         assertNotNull(f.leader(), () -> "no leader\n" + f.tail());
         return f;
@@ -54,7 +60,7 @@
     @Test
     void oneCoreIsFoundedThoughASeedDiesMeanwhile() {
         for (long seed = 1; seed <= 12; seed++) {
-            SimFleet f = new SimFleet(seed, 4, 4);
+            SimFleet f = new SimFleet(seed, 4, 4, 1);
             SimNode seedNode = f.world.nodes.get(seed % 2 == 0 ? "d1:1" : "n1:1");
             f.world.run(1_600_000 + f.world.random.nextInt(2_000_000));
             seedNode.kill();
@@ -71,47 +77,85 @@
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 1253})
     void nothingAcknowledgedIsLostUnderRandomFaults(long seed) {
-        SimFleet f = founded(seed);
+        randomFaults(founded(seed), 1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {101, 102, 103, 104, 105, 106, 107, 108})
+    void nothingAcknowledgedIsLostWhenTwoFailAtOnce(long seed) {
+        randomFaults(founded(seed, seed % 2 == 0 ? 5 : 8, 2), 2);
+    }
+
+    private static void randomFaults(SimFleet f, int atOnce) {
         f.callers();
         for (int round = 0; round < 8; round++) {
-            SimNode d = f.disks.get(f.world.random.nextInt(f.disks.size()));
+            List<SimNode> victims = new ArrayList<>(f.disks);
+            Collections.shuffle(victims, f.world.random);
             SimNode leader = f.leader();
             if (leader != null && f.world.random.nextBoolean()) {
-                d = leader;
+                victims.remove(leader);
+                victims.add(0, leader);
             }
-            SimNode victim = d;
-            f.world.event("test", "round=" + round + " victim=" + victim.address);
-            switch (f.world.random.nextInt(9)) {
-                case 0 -> victim.kill();
-                case 1 -> victim.losePower();
-                case 2 -> {
-                    victim.losePower();
-                    victim.disk.wipe();
-                }
-                case 3 -> victim.freeze();
-                case 4 -> f.world.cutOff(victim.address);
-                case 5 -> victim.disk.stalled = true;
-                case 6 -> victim.disk.refusing = true;
-                case 7 -> f.all.forEach(n -> {
-                    if (f.world.random.nextInt(4) > 0) {
-                        n.losePower();
-                    }
-                });
-                default -> f.world.loss = 0.05;
+            victims = victims.subList(0, atOnce);
+            for (SimNode victim : victims) {
+                int what = f.world.random.nextInt(9);
+                f.world.event("test", "round=" + round + " victim=" + victim.address + " what=" + what);
+                strike(f, victim, what);
             }
             f.world.run(S + f.world.random.nextInt(4_000_000));
             f.world.heal();
             f.world.loss = 0;
-            victim.thaw();
-            victim.disk.stalled = false;
-            victim.disk.refusing = false;
+            victims.forEach(v -> {
+                v.thaw();
+                v.disk.stalled = false;
+                v.disk.refusing = false;
+            });
             f.all.forEach(SimNode::start);
-            f.world.run(5 * S);
+            f.world.run(6 * S);
         }
         assertTrue(f.checker.grants > 200, "too few keys ran for the test to mean anything");
         settles(f, 5 * S);
     }
 
+    private static void strike(SimFleet f, SimNode victim, int what) {
+        switch (what) {
+            case 0 -> victim.kill();
+            case 1 -> victim.losePower();
+            case 2 -> {
+                victim.losePower();
+                victim.disk.wipe();
+            }
+            case 3 -> victim.freeze();
+            case 4 -> f.world.cutOff(victim.address);
+            case 5 -> victim.disk.stalled = true;
+            case 6 -> victim.disk.refusing = true;
+            case 7 -> f.all.forEach(n -> {
+                if (f.world.random.nextInt(4) > 0) {
+                    n.losePower();
+                }
+            });
+            default -> f.world.loss = 0.05;
+        }
+    }
+
+    /** The worst that must be borne: right after an acknowledgement two disks are gone and all others lose power. */
+    @Test
+    void acknowledgedChangeOutlivesTwoWipesWhileAllOthersLosePower() {
+        for (long seed = 131; seed <= 146; seed++) {
+            SimFleet f = founded(seed, seed % 2 == 0 ? 5 : 8, 2);
+            f.callers();
+            f.world.run(2 * S + f.world.random.nextInt(1_000_000));
+            List<SimNode> group = new ArrayList<>(f.disks.stream()
+                    .filter(d -> f.leader().node.known().inGroup(d.disk.id)).toList());
+            assertEquals(3, group.size());
+            Collections.shuffle(group, f.world.random);
+            f.all.forEach(SimNode::losePower);
+            group.subList(0, 2).forEach(d -> d.disk.wipe());
+            f.world.run(S);
+            settles(f, 8 * S);
+        }
+    }
+
     @Test
     void acknowledgedChangeOutlivesTheWipeOfWhoeverAcknowledgedIt() {
         for (long seed = 31; seed <= 40; seed++) {
@@ -157,14 +201,14 @@
             f.callers();
             f.world.run(2 * S);
             SimNode leader = f.leader();
-            String backup = leader.node.known().backup().address();
+            String backup = leader.node.known().backups().get(0).address();
             SimNode stalled = ofPrimary ? leader : f.world.nodes.get(backup);
             stalled.disk.stalled = true;
             f.world.run(2 * S);
             int before = f.checker.grants;
             f.world.run(S);
             assertTrue(f.checker.grants > before + 10, () -> "claims wait for a stalled disk\n" + f.tail());
-            assertFalse(f.leader().node.known().inPair(stalled.disk.id));
+            assertFalse(f.leader().node.known().inGroup(stalled.disk.id));
             stalled.disk.stalled = false;
             settles(f, 5 * S);
         }
--- a/src/test/java/org/otterpond/sim/SimFleet.java
+++ b/src/test/java/org/otterpond/sim/SimFleet.java
@@ -3,12 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.otterpond.harbour.QuotaTerms;
 import org.otterpond.harbour.Vessel;
 import org.otterpond.harbour.VesselState;
+import org.otterpond.harbour.WatchTimes;
 import org.otterpond.signal.Flag;
 
 /** A whole system with its callers: an operator who changes the configuration, clients with operation keys. */
 final class SimFleet {
+    static final QuotaTerms QUOTA = new QuotaTerms(5_000_000, 0.1, 20, WatchTimes.standard().lent());
+
     final SimWorld world;
     final Checker checker;
     final List<SimNode> disks = new ArrayList<>();
@@ -17,9 +21,11 @@
     private boolean calling = true;
     private long nextRevision = 1;
     private int tokenNumber;
+    private final int faults;
     private int keyNumber;
 
-    SimFleet(long seed, int withDisk, int without) {
+    SimFleet(long seed, int withDisk, int without, int faults) {
+        this.faults = faults;
         world = new SimWorld(seed);
         checker = new Checker(world);
         // The seeds are one machine with a disk and two without, as a deployment may have it.
@@ -36,7 +42,7 @@
     }
 
     SimNode add(String address, boolean disk) {
-        SimNode n = new SimNode(world, checker, address, disk, seeds);
+        SimNode n = new SimNode(world, checker, address, disk, seeds, faults);
         world.nodes.put(address, n);
         all.add(n);
         return n;
@@ -143,22 +149,17 @@
 
     private void claim(SimNode n, String key, String token) {
         org.otterpond.harbour.HarbourNode node = n.node;
-        node.ask(new Flag("ask").with("op", "claim").with("key", key).with("token", token), 600_000, 200_000, r -> {
+        node.ask(new Flag("ask").with("op", "claim").with("key", key).with("token", token)
+                .with("holder", n.address), 600_000, 200_000, r -> {
             if (r == null) {
                 // Given up before anything was sent: it never runs.
                 tell(node, "free", key, token);
             } else if (r.truth("granted")) {
                 checker.ran(key, token);
                 world.at(20_000 + world.random.nextInt(80_000), () -> {
-                    switch (world.random.nextInt(10)) {
-                        case 0 -> {
-                            checker.disowned(key, token);
-                            tell(node, "free", key, token);
-                        }
-                        case 1 -> tell(node, "unknown", key, token);
-                        default -> node.ask(new Flag("ask").with("op", "done").with("key", key).with("token", token)
-                                .with("holder", node.toString()),
-                                2_000_000, 300_000, x -> { });
+                    if (world.random.nextInt(10) == 0) {
+                        checker.disowned(key, token);
+                        tell(node, "free", key, token);
                     }
                 });
             }
--- a/src/test/java/org/otterpond/sim/SimNode.java
+++ b/src/test/java/org/otterpond/sim/SimNode.java
@@ -8,6 +8,7 @@
 import org.otterpond.chart.Configuration;
 import org.otterpond.harbour.Deck;
 import org.otterpond.harbour.HarbourNode;
+import org.otterpond.harbour.HarbourTerms;
 import org.otterpond.harbour.NodeIdentity;
 import org.otterpond.harbour.Shore;
 import org.otterpond.harbour.Vessel;
@@ -20,6 +21,7 @@
     final String address;
     final SimDisk disk;
     private final List<String> seeds;
+    private final int faults;
     private boolean firstStart = true;
     private SimDeck deck;
     HarbourNode node;
@@ -28,7 +30,8 @@
     private boolean dark;
     private final List<Runnable> frozenTasks = new ArrayList<>();
 
-    SimNode(SimWorld world, Checker checker, String address, boolean withDisk, List<String> seeds) {
+    SimNode(SimWorld world, Checker checker, String address, boolean withDisk, List<String> seeds, int faults) {
+        this.faults = faults;
         this.world = world;
         this.checker = checker;
         this.address = address;
@@ -67,7 +70,8 @@
         boolean blank = disk != null && disk.blank();
         checker.started(address, life);
         node = new HarbourNode(deck, new NodeIdentity(address, address, "z", disk == null ? null : disk.id, blank,
-                firstStart, seeds, life), new SimShore(life), 1_500_000, Checker.WINDOW);
+                firstStart, seeds, life), new SimShore(life),
+                new HarbourTerms(1_500_000, Checker.WINDOW, faults, SimFleet.QUOTA));
         if (disk != null && !blank) {
             node.replay(disk.read());
         }
@@ -143,12 +147,12 @@
         }
 
         @Override
-        public void nodes(List<String> zones) {
+        public void fleet(Map<String, Integer> nodesInZone, int rank) {
             // Only the data path uses it.
         }
 
         @Override
-        public Flag keptAnswer(String key, String token) {
+        public Flag outcome(String key, String token) {
             return null;
         }
     }
