--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -19,9 +19,9 @@
 import org.otterpond.chart.Shipper;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.Shore;
+import org.otterpond.harbour.Stores;
 import org.otterpond.harbour.Vessel;
 import org.otterpond.harbour.VesselState;
-import org.otterpond.harbour.WatchTimes;
 import org.otterpond.quay.Call;
 import org.otterpond.quay.CallHandler;
 import org.otterpond.quay.Links;
@@ -65,7 +65,6 @@
     private static final long PARK_MOST = 600_000;
     private static final long FETCH = 400_000;
     private static final long LEAST_LEFT = 5_000;
-    private static final long LENT = WatchTimes.standard().lent() - 50_000;
     private static final long REVOKE_MARGIN = 250_000;
     private static final int SMALL_FLEET = 8;
     private static final String BEARER = "Bearer ";
@@ -102,7 +101,7 @@
         this.locker = new Locker(settings.keyWindowMicros() + 10_000_000, Runtime.getRuntime().maxMemory() / 4);
         this.random = new Random(ThreadLocalRandom.current().nextLong());
         this.node = nodeFor.apply(this);
-        this.stores = new Stores(quay, node, LENT);
+        this.stores = node.stores();
         this.keysTrusted = settings.revokeMicros() - Math.max(REVOKE_MARGIN, settings.revokeMicros() / 20);
         quay.after(SWEEP, this::sweep);
         quay.after(SAMPLE, this::sample);
@@ -178,7 +177,7 @@
         }
         if (h == null) {
             try {
-                h = new Hull(v, new TenderPool(quay, Links.address(v.address()), ANSWER_BOUND));
+                h = new Hull(v, new TenderPool(quay, Links.address(v.address()), ANSWER_BOUND, ATTEMPT_ID));
             } catch (RuntimeException e) {
                 LOG.warn("event=bad_worker_address instance={} address={}", v.id(), v.address());
                 return;
@@ -204,7 +203,6 @@
 
     private void sweep() {
         fairways.values().forEach(f -> f.hulls.values().forEach(h -> h.pool.sweep()));
-        stores.sweep();
         quay.after(SWEEP, this::sweep);
     }
 
@@ -683,17 +681,15 @@
 
     private void onAnswer(Passage p, Hull h, Missive m) {
         boolean notRun = m.first(NOT_EXECUTED) != null || m.status() == 421;
-        String id = m.first(ATTEMPT_ID);
-        boolean foreign = id != null && !id.equals(p.call.request().first(ATTEMPT_ID));
         boolean success = m.status() / 100 == 2;
-        if (!foreign && !notRun) {
+        if (!notRun) {
             h.worked(Quay.now());
         }
         if (!success && !p.open.isEmpty()) {
             // Another attempt is still at work, and may do better.
             return;
         }
-        if (foreign || (success && m.first(SEAL) == null)) {
+        if (success && m.first(SEAL) == null) {
             h.failed(Quay.now());
             if (!p.open.isEmpty()) {
                 return;
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -25,6 +25,7 @@
     private static final long OUT_OF_TOUCH = 1_700_000;
     private static final long TOMBSTONE = 30_000_000;
     private static final long BEAT_BATCH = 250_000;
+    private static final long SWEEP = 500_000;
     public static final long TICK = 100_000;
 
     private final Deck deck;
@@ -33,6 +34,8 @@
     private final Founding founding;
     private final Watch watch;
     private final Helm helm;
+    private final Stores stores;
+    private long storesSwept;
 
     private EpochRecord known;
     private final LinkedHashSet<String> contacts = new LinkedHashSet<>();
@@ -76,6 +79,7 @@
         this.me = me;
         this.shore = shore;
         this.askNumber = me.life() & 0xffff_ffff_0000L;
+        this.stores = new Stores(deck, this, terms.quota().lentMicros() - HarbourTerms.LENT_MARGIN);
         this.founding = new Founding(deck, me.address(), me.seeds(), me.firstLife(),
                 terms.faults());
         if (me.diskId() != null) {
@@ -127,6 +131,10 @@
             poll();
         }
         tickAsks(now);
+        if (now - storesSwept > SWEEP) {
+            storesSwept = now;
+            stores.sweep();
+        }
         endedAt.entrySet().removeIf(e -> {
             if (now - e.getValue() > TOMBSTONE) {
                 roster.remove(e.getKey());
@@ -431,6 +439,11 @@
                 r -> answer.accept(r == null ? null : r.flag("answer")));
     }
 
+    /** This node's tokens of the tenants' quotas. */
+    public Stores stores() {
+        return stores;
+    }
+
     /** Names this process's life, for running totals. */
     public long life() {
         return me.life();
--- a/src/main/java/org/otterpond/cargo/Stores.java
+++ b/src/main/java/org/otterpond/harbour/Stores.java
@@ -1,4 +1,4 @@
-package org.otterpond.cargo;
+package org.otterpond.harbour;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,8 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.otterpond.harbour.HarbourNode;
-import org.otterpond.quay.Quay;
 import org.otterpond.signal.Flag;
 
 /**
@@ -15,7 +13,7 @@
  * request; none is used later than the lending time after it was asked for. The running totals of what is used, given
  * back or expired go with every ask, so the owner knows what may still be out.
  */
-final class Stores {
+public final class Stores {
     private static final long GATHER = 2_000;
     private static final long REPORT = 150_000;
     private static final long ANSWER = 300_000;
@@ -24,7 +22,7 @@
     private static final long PACE = 1_000_000;
     private static final int MOST_SPARE = 8;
 
-    private final Quay quay;
+    private final Deck deck;
     private final HarbourNode node;
     private final long lentMicros;
     private final Map<String, Shelf> shelves = new LinkedHashMap<>();
@@ -34,7 +32,7 @@
     private boolean reportDue;
 
     /** Somebody who waits for a token. */
-    interface Taker {
+    public interface Taker {
         /** Whether it wants one still. */
         boolean waits();
 
@@ -70,8 +68,8 @@
         }
     }
 
-    Stores(Quay quay, HarbourNode node, long lentMicros) {
-        this.quay = quay;
+    Stores(Deck deck, HarbourNode node, long lentMicros) {
+        this.deck = deck;
         this.node = node;
         this.lentMicros = lentMicros;
     }
@@ -81,9 +79,9 @@
     }
 
     /** Uses a token that is here; false if there is none. */
-    boolean take(String tenant) {
+    public boolean take(String tenant) {
         Shelf s = shelf(tenant);
-        long now = Quay.now();
+        long now = deck.now();
         prune(s, now);
         Lot l = s.lots.peekFirst();
         if (l == null) {
@@ -105,7 +103,7 @@
     }
 
     /** Gives back a token that was taken for a request which has not run and never will. */
-    void giveBack(String tenant) {
+    public void giveBack(String tenant) {
         shelf(tenant).returned++;
     }
 
@@ -116,7 +114,7 @@
     }
 
     /** Waits for a token, which is used when the taker is told. */
-    void want(String tenant, Taker taker) {
+    public void want(String tenant, Taker taker) {
         Shelf s = shelf(tenant);
         if (s.takers.isEmpty() && take(tenant)) {
             taker.taken();
@@ -129,7 +127,7 @@
     private void askSoon(long delay) {
         if (!askDue) {
             askDue = true;
-            quay.after(delay, () -> {
+            deck.after(delay, () -> {
                 askDue = false;
                 ask();
             });
@@ -139,7 +137,7 @@
     private void reportLater() {
         if (!reportDue) {
             reportDue = true;
-            quay.after(REPORT, () -> {
+            deck.after(REPORT, () -> {
                 reportDue = false;
                 if (shelves.values().stream().anyMatch(s -> s.used != s.reported)) {
                     ask();
@@ -149,9 +147,9 @@
     }
 
     /** This node's part of an ask for one tenant: its totals, what it needs and what it would like beside. */
-    Flag part(String tenant, int need) {
+    public Flag part(String tenant, int need) {
         Shelf s = shelf(tenant);
-        prune(s, Quay.now());
+        prune(s, deck.now());
         s.reported = s.used;
         // A reserve only where requests come faster than asks would: elsewhere it would mostly expire.
         int spare = Math.max(0, Math.min(MOST_SPARE, Math.max(s.pace, s.recent) / 5) - s.held());
@@ -160,7 +158,7 @@
     }
 
     /** What every ask that carries a part must say. */
-    Flag sign(Flag ask) {
+    public Flag sign(Flag ask) {
         return ask.with("life", node.life()).with("term", term);
     }
 
@@ -179,7 +177,7 @@
             return;
         }
         asking = true;
-        long asked = Quay.now();
+        long asked = deck.now();
         node.ask(sign(new Flag("ask").with("op", "lend").withFlags("tenants", parts)), ANSWER, 2 * ANSWER, r -> {
             asking = false;
             if (r == null) {
@@ -200,7 +198,7 @@
     }
 
     /** Takes in what was lent, and serves those who wait. Returns when to ask again for those who still do. */
-    long lent(long ofTerm, Flag lent, long asked, boolean serve) {
+    public long lent(long ofTerm, Flag lent, long asked, boolean serve) {
         if (ofTerm != term) {
             // Another owner: totals begin anew, and what the old one lent is left to expire.
             term = ofTerm;
@@ -244,8 +242,8 @@
     }
 
     /** Forgets tenants long unused. */
-    void sweep() {
-        long now = Quay.now();
+    public void sweep() {
+        long now = deck.now();
         Iterator<Shelf> it = shelves.values().iterator();
         while (it.hasNext()) {
             Shelf s = it.next();
--- a/src/main/java/org/otterpond/keel/Purser.java
+++ b/src/main/java/org/otterpond/keel/Purser.java
@@ -59,7 +59,7 @@
         frames = new ArrayList<>();
         waiting = new ArrayList<>();
         // What is in memory already includes the records that wait, so a fresh file stands for them too.
-        List<Flag> fresh = logbook.size() > rotateAt ? base.get() : null;
+        List<Flag> fresh = logbook.size() > rotateAt || !logbook.sound() ? base.get() : null;
         disk.execute(() -> {
             boolean ok = write(now, fresh);
             owner.execute(() -> {
@@ -77,14 +77,15 @@
                 rotateAt = Math.max(ROTATE_AT, 3 * logbook.size());
                 return true;
             } catch (LogbookException e) {
-                LOG.warn("event=journal_rotation_failed cause=\"{}\"", e.getCause().toString());
+                LOG.warn("event=journal_rotation_failed cause=\"{}\"", String.valueOf(e.getCause()));
+                return false;
             }
         }
         try {
             logbook.append(now);
             return true;
         } catch (LogbookException e) {
-            LOG.warn("event=journal_append_failed cause=\"{}\"", e.getCause().toString());
+            LOG.warn("event=journal_append_failed cause=\"{}\"", String.valueOf(e.getCause()));
             return false;
         }
     }
--- a/src/main/java/org/otterpond/logbook/Logbook.java
+++ b/src/main/java/org/otterpond/logbook/Logbook.java
@@ -28,6 +28,7 @@
     private FileChannel channel;
     private long number;
     private long end;
+    private boolean rotated = true;
 
     public Logbook(Path folder) {
         this.folder = folder;
@@ -43,9 +44,11 @@
                 List<Flag> records = read(file);
                 if (!records.isEmpty() && records.get(0).kind().equals("base")
                         && records.size() > records.get(0).number("count")) {
-                    number = numbers.get(i);
+                    number = numbers.get(numbers.size() - 1);
                     channel = FileChannel.open(file, StandardOpenOption.WRITE);
                     channel.truncate(end);
+                    // A newer file that is no journal must never come to look like one again.
+                    rotated = i == numbers.size() - 1;
                     return records;
                 }
             }
@@ -122,6 +125,9 @@
         for (byte[] f : frames) {
             size += f.length;
         }
+        if (!rotated) {
+            throw new LogbookException("journal not rotated", null);
+        }
         ByteBuffer b = ByteBuffer.allocate(size);
         frames.forEach(b::put);
         b.flip();
@@ -144,7 +150,7 @@
 
     /** Begins a new file that stands for all before it, then lets the older ones go. */
     public void rotate(String diskId, List<Flag> base) throws LogbookException {
-        long next = number + 1;
+        long next = ++number;
         Path file = file(next);
         try {
             FileChannel fresh = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
@@ -160,27 +166,46 @@
                 }
             }
             fresh.force(true);
-            if (channel != null) {
-                channel.close();
-            }
+            FileChannel old = channel;
             channel = fresh;
-            number = next;
             end = at;
-            for (long n : numbers()) {
-                if (n < next) {
-                    Files.deleteIfExists(file(n));
-                }
-            }
+            rotated = true;
+            letGo(old, next);
         } catch (IOException e) {
+            rotated = false;
             try {
                 Files.deleteIfExists(file);
             } catch (IOException ignored) {
-                // A half-written file without its first record is passed over on reading.
+                // A removed name may come back after a loss of power in any case.
             }
             throw new LogbookException("journal not rotated", e);
         }
     }
 
+    /** From here on the new file stands for all; what is left of the older ones does no harm. */
+    private void letGo(FileChannel old, long newest) {
+        try {
+            if (old != null) {
+                old.close();
+            }
+            for (long n : numbers()) {
+                if (n < newest) {
+                    Files.deleteIfExists(file(n));
+                }
+            }
+        } catch (IOException e) {
+            // Tried again at the next rotation.
+        }
+    }
+
+    /**
+     * Whether appends count. After a rotation that failed, the file it left may look whole after a loss of power, and
+     * being newer it would be read instead of this one: until another rotation succeeds nothing is kept.
+     */
+    public boolean sound() {
+        return rotated;
+    }
+
     public long size() {
         return end;
     }
--- a/src/main/java/org/otterpond/quay/Missive.java
+++ b/src/main/java/org/otterpond/quay/Missive.java
@@ -75,6 +75,12 @@
         return this;
     }
 
+    /** Whether the header is there once, with just that value; with none, whether it is absent. */
+    boolean carries(String name, String value) {
+        Header[] given = headers().getHeaders(name);
+        return value == null ? given.length == 0 : given.length == 1 && value.equals(given[0].getValue());
+    }
+
     public String first(String name) {
         Header h = headers.getFirstHeader(name);
         return h == null ? null : h.getValue();
--- a/src/main/java/org/otterpond/quay/Tender.java
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -22,6 +22,8 @@
     private boolean connected;
     private boolean closed;
     private Reception reception;
+    /** What the answer must bring back of the request in hand. */
+    private String echo;
     private Quay.Timer connectTimer;
     private long usableUntil;
     private long writtenBefore;
@@ -65,6 +67,7 @@
 
     void send(Missive request, Reception r) {
         reception = r;
+        echo = request.first(pool.echoed());
         writtenBefore = out.written();
         reader.expect(request.method().equals("HEAD"));
         out.add(OutBuffer.encode(request, true, null));
@@ -121,6 +124,11 @@
             }
             return;
         }
+        if (!answer.carries(pool.echoed(), echo)) {
+            // An answer to something asked before, or to nobody: this connection can be believed no more.
+            close("foreign_answer");
+            return;
+        }
         Reception r = reception;
         reception = null;
         boolean keep = n >= 0 && !answer.old() && !answer.holds("Connection", "close") && !in.hasData()
--- a/src/main/java/org/otterpond/quay/TenderPool.java
+++ b/src/main/java/org/otterpond/quay/TenderPool.java
@@ -15,17 +15,24 @@
     private final Quay quay;
     private final InetSocketAddress address;
     private final long answerBound;
+    private final String echoed;
     private final ArrayDeque<Tender> idle = new ArrayDeque<>();
     private final Set<Tender> all = new HashSet<>();
     private boolean closed;
     private long opened;
 
-    public TenderPool(Quay quay, InetSocketAddress address, long answerBound) {
+    /** @param echoed the header that every answer must bring back as the request had it */
+    public TenderPool(Quay quay, InetSocketAddress address, long answerBound, String echoed) {
+        this.echoed = echoed;
         this.quay = quay;
         this.address = address;
         this.answerBound = answerBound;
     }
 
+    String echoed() {
+        return echoed;
+    }
+
     long answerBound() {
         return answerBound;
     }
--- a/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
+++ b/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
@@ -51,7 +51,11 @@
         worker = new ScriptedWorker();
         String config = "{\"revision\":1,\"route_table\":[" + route("plain", "/p/", "idempotent", 1) + ","
                 + route("twice", "/t/", "idempotent", 2) + "," + route("once", "/o/", "non_idempotent", 2) + ","
-                + route("keyed", "/k/", "keyed", 2) + "],\"service_table\":[{\"name\":\"s\"}],"
+                + route("keyed", "/k/", "keyed", 2) + "," + route("tenants", "/s/", "idempotent", 2) + ","
+                + route("tenants-keyed", "/sk/", "keyed", 2) + "],\"subscribers\":["
+                + "{\"name\":\"acme\",\"access_keys\":[\"key-a\",\"key-a2\"]},"
+                + "{\"name\":\"bolt\",\"access_keys\":[\"key-b\"]},"
+                + "{\"name\":\"small\",\"access_keys\":[\"key-s\"],\"rate_per_s\":5,\"burst_size\":4}],\"service_table\":[{\"name\":\"s\"}],"
                 + "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\"header_timer_ms\":600,"
                 + "\"idle_timer_ms\":15000}}";
         untilAnswered("POST /-/Configuration.Replace HTTP/1.1\r\nHost: c\r\nX-Otterpond-Base-Revision: 0\r\n"
@@ -73,7 +77,7 @@
 
     private static String route(String name, String prefix, String type, int attempts) {
         return "{\"name\":\"" + name + "\",\"host_name\":\"h.example\",\"path_prefix\":\"" + prefix
-                + "\",\"route_type\":\"" + type + "\",\"guard_timer_ms\":3000,\"target_latency_ms\":1000,"
+                + "\",\"public_access\":" + !prefix.startsWith("/s") + ",\"route_type\":\"" + type + "\",\"guard_timer_ms\":3000,\"target_latency_ms\":1000,"
                 + "\"target_service\":\"s\",\"max_attempts\":" + attempts + "}";
     }
 
@@ -226,6 +230,8 @@
         "HTTP/1.1 200 OK\r\nX-Otterpond-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel\u0000",
         "rubbish that is no answer\r\n\r\n\u0000",
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nX-Otterpond-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 503 Busy\r\nX-Otterpond-Attempt-Id: other\r\nX-Otterpond-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX-Otterpond-Attempt-Id: other\r\nX-Otterpond-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok",
         "\u0000"
     })
@@ -239,6 +245,71 @@
         assertEquals("well", body(ask("GET /p/x")));
     }
 
+    /** As when a worker stuttered: the answer to an older request comes in the place of the next. */
+    @Test
+    void lateAnswerIsGivenToNobodyAndItsConnectionIsNotUsedAgain() throws IOException {
+        String[] late = {null};
+        worker.script = r -> {
+            String mine = ScriptedWorker.ok(r, "mine " + ScriptedWorker.header(r, "X-Otterpond-Attempt-Id"));
+            String answer = late[0] == null ? mine : late[0];
+            late[0] = mine;
+            return answer;
+        };
+        for (int i = 0; i < 6; i++) {
+            String a = ask("GET /p/x");
+            String id = "a" + attempt;
+            assertTrue(status(a) == 502 || body(a).equals("mine " + id), a);
+        }
+    }
+
+    @Test
+    void keysOfTenants() throws IOException {
+        assertEquals(401, status(ask("GET /s/x")));
+        assertEquals(401, status(ask("GET /s/x", "Authorization: Bearer nobody\r\n", "")));
+        assertEquals(401, status(ask("GET /s/x", "Authorization: Basic key-a\r\n", "")));
+        assertEquals(401, status(ask("GET /s/x",
+                "Authorization: Bearer key-a\r\nAuthorization: Bearer key-b\r\n", "")));
+        assertEquals(0, worker.requests.size());
+        try (RawClient c = new RawClient(front)) {
+            String refused = c.send(head("GET /s/x", "")).answer();
+            assertEquals("Bearer", ScriptedWorker.header(refused, "WWW-Authenticate"));
+            assertEquals(200, status(c.send(head("GET /s/x", "Authorization: bearer key-a\r\n"
+                    + "X-Otterpond-Tenant-Id: other\r\n")).answer()));
+        }
+        String seen = worker.requests.get(0);
+        assertEquals("acme", ScriptedWorker.header(seen, "X-Otterpond-Tenant-Id"));
+        assertNull(ScriptedWorker.header(seen, "Authorization"));
+        ask("GET /p/x", "Authorization: Bearer key-a\r\nX-Otterpond-Tenant-Id: other\r\n", "");
+        assertNull(ScriptedWorker.header(worker.requests.get(1), "X-Otterpond-Tenant-Id"));
+        assertNull(ScriptedWorker.header(worker.requests.get(1), "Authorization"));
+    }
+
+    @Test
+    void operationKeyIsItsTenants() throws IOException {
+        worker.script = r -> ScriptedWorker.ok(r, "run " + worker.requests.size());
+        String key = "X-Otterpond-Operation-Key: same\r\nContent-Length: 1\r\nAuthorization: Bearer ";
+        assertEquals("run 1", body(ask("POST /sk/x", key + "key-a\r\n", "b")));
+        assertEquals("run 2", body(ask("POST /sk/x", key + "key-b\r\n", "b")));
+        assertEquals("run 1", body(ask("POST /sk/x", key + "key-a2\r\n", "b")));
+    }
+
+    @Test
+    void quotaIsKeptAndWhatIsBeyondItIsToldWhenToComeBack() throws IOException {
+        long began = System.nanoTime();
+        int over = 0;
+        for (int i = 0; i < 40 && over < 3; i++) {
+            String a = ask("GET /s/x", "Authorization: Bearer key-s\r\nX-Otterpond-Time-Remaining: 400\r\n", "");
+            if (status(a) == 429) {
+                over++;
+                assertTrue(Double.parseDouble(ScriptedWorker.header(a, "Retry-After")) > 0);
+            }
+        }
+        double most = 4 + 5 * (System.nanoTime() - began) / 1e9 + 1;
+        assertEquals(3, over);
+        assertTrue(worker.requests.size() <= most, worker.requests.size() + " ran, of " + most);
+        assertTrue(worker.requests.size() >= 3, "what is within the quota is served");
+    }
+
     @Test
     void bytesBehindAnAnswerBelongToNobody() throws IOException {
         worker.script = r -> ScriptedWorker.ok(r, "first")
@@ -250,7 +321,7 @@
 
     @Test
     void onlyADisownedRequestIsPromisedNotToHaveRun() throws IOException {
-        worker.script = r -> "HTTP/1.1 503 Busy\r\nX-Otterpond-Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+        worker.script = ScriptedWorker::full;
         String a = ask("POST /o/x", "Content-Length: 1\r\n", "b");
         assertEquals(503, status(a));
         assertTrue(Double.parseDouble(ScriptedWorker.header(a, "Retry-After")) > 0);
@@ -287,7 +358,7 @@
     @Test
     void disownedKeyIsFreeForTheNextTry() throws IOException {
         String headers = "X-Otterpond-Operation-Key: key-3\r\nContent-Length: 1\r\n";
-        worker.script = r -> "HTTP/1.1 503 Busy\r\nX-Otterpond-Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+        worker.script = ScriptedWorker::full;
         assertEquals(503, status(ask("POST /k/x", headers, "b")));
         worker.script = r -> ScriptedWorker.ok(r, "ran");
         String a = "";
--- a/src/test/java/org/otterpond/keel/ScriptedWorker.java
+++ b/src/test/java/org/otterpond/keel/ScriptedWorker.java
@@ -59,6 +59,12 @@
                 + "\r\nX-Otterpond-Server-Seal: seal\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** The answer of a worker that has no room. */
+    static String full(String request) {
+        return "HTTP/1.1 503 Busy\r\nX-Otterpond-Attempt-Id: " + header(request, "X-Otterpond-Attempt-Id")
+                + "\r\nX-Otterpond-Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+    }
+
     private void serve(Socket s) {
         try (s) {
             InputStream in = s.getInputStream();
--- a/src/test/java/org/otterpond/logbook/LogbookTest.java
+++ b/src/test/java/org/otterpond/logbook/LogbookTest.java
@@ -1,6 +1,7 @@
 package org.otterpond.logbook;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
@@ -77,4 +78,23 @@
         assertEquals(2, read.size());
         assertEquals("disk-1", read.get(0).text("disk"));
     }
+
+    /** A file that a failed rotation left may be there, and whole, after a loss of power. */
+    @Test
+    void nothingIsKeptBehindAFailedRotationUntilOneSucceeds(@TempDir Path folder) throws Exception {
+        Logbook l = blank(folder);
+        l.append(List.of(Logbook.frame(record(1))));
+        byte[] first = Files.readAllBytes(folder.resolve("log-1"));
+        Path inTheWay = Files.createDirectory(folder.resolve("log-2"));
+        Files.writeString(inTheWay.resolve("x"), "x");
+        assertThrows(LogbookException.class, () -> l.rotate("disk-1", List.of(record(1))));
+        assertThrows(LogbookException.class, () -> l.append(List.of(Logbook.frame(record(2)))));
+        l.rotate("disk-1", List.of(record(1), record(2)));
+        l.append(List.of(Logbook.frame(record(3))));
+        Files.delete(inTheWay.resolve("x"));
+        Files.delete(inTheWay);
+        Files.write(folder.resolve("log-2"), first);
+        List<Flag> read = new Logbook(folder).open();
+        assertEquals(List.of("k1", "k2", "k3"), read.subList(1, 4).stream().map(f -> f.text("key")).toList());
+    }
 }
--- a/src/test/java/org/otterpond/sim/Checker.java
+++ b/src/test/java/org/otterpond/sim/Checker.java
@@ -25,6 +25,11 @@
 
     private record Run(String token, long at) {}
 
+    /** When a version that lacks the access key was acknowledged. */
+    private final Map<String, Long> withdrawn = new HashMap<>();
+    private final List<Long> counted = new ArrayList<>();
+    int keyRuns;
+
     Checker(SimWorld world) {
         this.world = world;
     }
@@ -96,4 +101,50 @@
             runs.remove(key);
         }
     }
+
+    /** A configuration holds the access keys of its own revision and of the one that it builds on. */
+    void keysAcknowledged(long base, long revision) {
+        for (long old : acknowledgedOn.values()) {
+            if (old != base && old != revision) {
+                withdrawn.putIfAbsent(keyOf(old), world.now());
+            }
+        }
+    }
+
+    static String keyOf(long revision) {
+        return "key-" + revision;
+    }
+
+    /** A request under an access key runs that its client sent this moment. */
+    void keyRuns(String node, String key, long revokeMicros) {
+        keyRuns++;
+        Long gone = withdrawn.get(key);
+        if (gone != null && world.now() > gone + revokeMicros) {
+            breach(node + " ran under " + key + " " + (world.now() - gone) / 1000 + " ms after it was withdrawn");
+        }
+    }
+
+    /** A run that counts against the one quota. */
+    void countedRun() {
+        counted.add(world.now());
+    }
+
+    int countedRuns() {
+        return counted.size();
+    }
+
+    /** Looks at every window that begins with a run. */
+    void checkQuota(double rate, double burst, long window, double excess, double slack) {
+        double most = (rate * window / 1e6 + burst) * (1 + excess) + slack;
+        int from = 0;
+        for (int to = 0; to < counted.size(); to++) {
+            while (counted.get(to) - counted.get(from) > window) {
+                from++;
+            }
+            if (to - from + 1 > most) {
+                breach("quota: " + (to - from + 1) + " runs up to " + counted.get(to) / 1000 + ", allowed " + most);
+                return;
+            }
+        }
+    }
 }
--- a/src/test/java/org/otterpond/sim/FleetFaultsTest.java
+++ b/src/test/java/org/otterpond/sim/FleetFaultsTest.java
@@ -86,6 +86,52 @@
         randomFaults(founded(seed, seed % 2 == 0 ? 5 : 8, 2), 2);
     }
 
+    /** Whoever leads, dies, is cut off or wakes up: what the tenant runs, and under which keys, stays within bounds. */
+    @ParameterizedTest
+    @ValueSource(longs = {201, 202, 203, 204, 205, 206, 207, 208, 209, 210})
+    void quotasAndWithdrawnKeysHoldUnderFaults(long seed) {
+        SimFleet f = founded(seed, seed % 2 == 0 ? 5 : 8, 2);
+        f.tenants();
+        randomFaults(f, 2);
+        assertTrue(f.checker.countedRuns() > 500, "only " + f.checker.countedRuns() + " counted runs");
+        assertTrue(f.checker.keyRuns > 1000, "only " + f.checker.keyRuns + " runs under keys");
+        f.checker.checkQuota(SimFleet.RATE, SimFleet.BURST, SimFleet.QUOTA.windowMicros(), SimFleet.QUOTA.excess(),
+                SimFleet.QUOTA.slack());
+        assertEquals(List.of(), f.checker.broken, () -> f.tail());
+    }
+
+    @Test
+    void tenantWithinItsQuotaIsServedThroughATakeover() {
+        SimFleet f = founded(211, 5, 2);
+        f.change(() -> { });
+        f.world.run(4 * S);
+        f.tenants();
+        f.world.run(5 * S);
+        int before = f.checker.countedRuns();
+        assertTrue(before > 5 * SimFleet.RATE, "the whole quota is to be had: " + before);
+        f.leader().kill();
+        f.world.run(4 * S);
+        int through = f.checker.countedRuns() - before;
+        assertTrue(through > 2 * SimFleet.RATE, "only " + through + " runs in four seconds around a takeover");
+    }
+
+    /** A cut-off node must not serve keys for long, nor refuse them too soon. */
+    @Test
+    void nodeCutOffTrustsItsKeysForAWhileOnly() {
+        SimFleet f = founded(212, 5, 2);
+        f.change(() -> { });
+        f.world.run(S);
+        SimNode n = f.world.nodes.get("n3:1");
+        f.world.cutOff(n.address);
+        f.world.run(3 * S);
+        assertTrue(f.world.now() - n.node.freshAt() < SimFleet.REVOKE);
+        f.world.run(3 * S);
+        assertTrue(f.world.now() - n.node.freshAt() > SimFleet.REVOKE);
+        f.world.heal();
+        f.world.run(3 * S);
+        assertTrue(f.world.now() - n.node.freshAt() < 2 * S);
+    }
+
     private static void randomFaults(SimFleet f, int atOnce) {
         f.callers();
         for (int round = 0; round < 8; round++) {
--- a/src/test/java/org/otterpond/sim/SimFleet.java
+++ b/src/test/java/org/otterpond/sim/SimFleet.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.otterpond.chart.Shipper;
 import org.otterpond.harbour.QuotaTerms;
+import org.otterpond.harbour.Stores;
 import org.otterpond.harbour.Vessel;
 import org.otterpond.harbour.VesselState;
 import org.otterpond.harbour.WatchTimes;
@@ -13,6 +15,11 @@
 final class SimFleet {
     static final QuotaTerms QUOTA = new QuotaTerms(5_000_000, 0.1, 20, WatchTimes.standard().lent());
 
+    static final long REVOKE = 5_000_000;
+    static final String TENANT = "acme";
+    static final int RATE = 40;
+    static final int BURST = 60;
+
     final SimWorld world;
     final Checker checker;
     final List<SimNode> disks = new ArrayList<>();
@@ -96,7 +103,9 @@
             then.run();
             return;
         }
-        String text = "{\"revision\":" + revision + ",\"route_table\":[],\"service_table\":[]}";
+        String text = "{\"revision\":" + revision + ",\"route_table\":[],\"service_table\":[],\"subscribers\":["
+                + "{\"name\":\"" + TENANT + "\",\"access_keys\":[\"" + Checker.keyOf(revision) + "\",\""
+                + Checker.keyOf(base) + "\"],\"rate_per_s\":" + RATE + ",\"burst_size\":" + BURST + "}]}";
         boolean[] first = {tries == 4};
         n.node.ask(new Flag("ask").with("op", "write").with("kind", "replace").with("base", base).with("text", text),
                 900_000, 250_000, r -> {
@@ -106,6 +115,7 @@
                     }
                     if (r.number("status") == 200) {
                         checker.acknowledged(base, revision);
+                        checker.keysAcknowledged(base, revision);
                     } else if (first[0]) {
                         checker.refused(revision);
                     }
@@ -170,6 +180,55 @@
         node.ask(new Flag("ask").with("op", op).with("key", key).with("token", token), 2_000_000, 300_000, x -> { });
     }
 
+    // --------------------------------------------------------------- tenants
+
+    /** Clients of one tenant, who ask for more than its quota and use every access key that there has been. */
+    void tenants() {
+        world.at(0, this::tenantCalls);
+    }
+
+    private void tenantCalls() {
+        if (!calling) {
+            return;
+        }
+        world.at(2_000 + world.random.nextInt(3_000), this::tenantCalls);
+        SimNode n = anyUp();
+        if (n == null) {
+            return;
+        }
+        n.perform(() -> admit(n));
+    }
+
+    /** As the data path does: the node's word must be fresh, the key known, and a token had. */
+    private void admit(SimNode n) {
+        if (n.configuration == null || world.now() - n.node.freshAt() >= REVOKE - 250_000) {
+            return;
+        }
+        for (Shipper s : n.configuration.shippers()) {
+            s.keys().forEach(k -> checker.keyRuns(n.address, k, REVOKE));
+        }
+        n.node.stores().want(TENANT, new Stores.Taker() {
+            private boolean done;
+            private final long until = world.now() + 1_000_000;
+
+            @Override
+            public boolean waits() {
+                return !done && world.now() < until;
+            }
+
+            @Override
+            public void taken() {
+                done = true;
+                checker.countedRun();
+            }
+
+            @Override
+            public void over(double retryAfter) {
+                done = true;
+            }
+        });
+    }
+
     Vessel worker(String id, VesselState state, long sequence) {
         return new Vessel(id, "svc", "10.0.0.1:80", "z", "v1", 4, state, sequence, 0);
     }
--- a/src/test/java/org/otterpond/sim/SimNode.java
+++ b/src/test/java/org/otterpond/sim/SimNode.java
@@ -26,6 +26,7 @@
     private SimDeck deck;
     HarbourNode node;
     final Map<String, Vessel> workers = new HashMap<>();
+    Configuration configuration;
     private boolean frozen;
     private boolean dark;
     private final List<Runnable> frozenTasks = new ArrayList<>();
@@ -66,6 +67,7 @@
         dark = false;
         deck = new SimDeck();
         workers.clear();
+        configuration = null;
         long life = world.random.nextLong() >>> 1;
         boolean blank = disk != null && disk.blank();
         checker.started(address, life);
@@ -121,6 +123,13 @@
         tasks.forEach(Runnable::run);
     }
 
+    /** Does something on the node's own thread: later, if it is frozen. */
+    void perform(Runnable task) {
+        if (node != null) {
+            deck.perform(task);
+        }
+    }
+
     void deliver(String from, Flag f) {
         if (node == null) {
             return;
@@ -139,6 +148,7 @@
         @Override
         public void configured(Configuration c) {
             checker.inForce(address, life, c.revision());
+            configuration = c;
         }
 
         @Override
