--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -23,7 +23,7 @@
     private static final long DRAIN_WAIT = 800_000;
     /** So long after an epoch began, every node in touch has shown itself to the new primary. */
     private static final long ALL_POLLED = 400_000;
-    private static final long EMPTY_AT_FIRST = 3_000_000;
+    private static final long EMPTY_AT_FIRST = 1_000_000;
     private static final long MEMBER_DEAD = 1_500_000;
     private static final long MEMBER_DROP = 6_000_000;
     private static final int MOST_MEMBERS = 9;
