--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -66,6 +66,8 @@
     private static final long FETCH = 400_000;
     private static final long LEAST_LEFT = 5_000;
     private static final long REVOKE_MARGIN = 250_000;
+    /** A request that may run once goes on a connection that has just been used, or on a new one. */
+    private static final long IDLE_ONCE = 150_000;
     private static final int SMALL_FLEET = 8;
     private static final String BEARER = "Bearer ";
     private static final long WORK_ASKED_AGAIN = 100_000;
@@ -592,7 +594,8 @@
         p.open.add(attempt);
         h.took(now);
         tally.forwarded.increment();
-        attempt.tender = h.pool.send(toWorker(p, h, left), Math.min(CONNECT, left), new Reception() {
+        attempt.tender = h.pool.send(toWorker(p, h, left), Math.min(CONNECT, left),
+                p.repeatable() ? Long.MAX_VALUE : IDLE_ONCE, new Reception() {
             @Override
             public void answered(Missive response) {
                 if (release(p, attempt) && !p.finished) {
--- a/src/main/java/org/otterpond/quay/Tender.java
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -26,6 +26,7 @@
     private String echo;
     private Quay.Timer connectTimer;
     private long usableUntil;
+    private long idleSince;
     private long writtenBefore;
 
     Tender(Quay quay, TenderPool pool, InetSocketAddress to, long connectMicros) throws IOException {
@@ -61,6 +62,10 @@
         }
     }
 
+    long idleSince() {
+        return idleSince;
+    }
+
     long usableUntil() {
         return usableUntil;
     }
@@ -135,7 +140,8 @@
                 && out.isEmpty();
         if (keep) {
             in.trim();
-            usableUntil = Quay.now() + pool.idleSpan(answer);
+            idleSince = Quay.now();
+            usableUntil = idleSince + pool.idleSpan(answer);
             pool.free(this);
         } else {
             close("done");
--- a/src/main/java/org/otterpond/quay/TenderPool.java
+++ b/src/main/java/org/otterpond/quay/TenderPool.java
@@ -37,11 +37,17 @@
         return answerBound;
     }
 
-    /** Sends on a kept connection or a new one; the tender is handed back so that it can be abandoned. */
-    public Tender send(Missive request, long connectMicros, Reception r) {
+    /**
+     * Sends on a kept connection or a new one; the tender is handed back so that it can be abandoned.
+     *
+     * @param idleMost how long a connection may have been idle to be used: a worker may have forgotten it since, and
+     *     what is sent on it then is lost without proof of not having run
+     */
+    public Tender send(Missive request, long connectMicros, long idleMost, Reception r) {
         long now = Quay.now();
         Tender t;
-        while ((t = idle.pollLast()) != null) {
+        while ((t = idle.peekLast()) != null && now - t.idleSince() <= idleMost) {
+            idle.pollLast();
             if (t.usable(now)) {
                 t.send(request, r);
                 return t;
--- a/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
+++ b/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
@@ -262,6 +262,19 @@
         }
     }
 
+    @Test
+    void requestThatMayRunOnceDoesNotTrustAnIdleConnection() throws Exception {
+        worker.forgetsAfterNanos = 100_000_000;
+        try {
+            for (int i = 0; i < 3; i++) {
+                assertEquals(200, status(ask("POST /o/x", "Content-Length: 1\r\n", "b")));
+                TimeUnit.MILLISECONDS.sleep(200);
+            }
+        } finally {
+            worker.forgetsAfterNanos = Long.MAX_VALUE;
+        }
+    }
+
     @Test
     void keysOfTenants() throws IOException {
         assertEquals(401, status(ask("GET /s/x")));
--- a/src/test/java/org/otterpond/keel/ScriptedWorker.java
+++ b/src/test/java/org/otterpond/keel/ScriptedWorker.java
@@ -19,6 +19,8 @@
 
     private final ServerSocket server;
     final List<String> requests = new CopyOnWriteArrayList<>();
+    /** A connection idle for longer is ended at the next request, which nobody reads. */
+    volatile long forgetsAfterNanos = Long.MAX_VALUE;
     volatile Function<String, String> script = r -> ok(r, "hello");
 
     ScriptedWorker() throws IOException {
@@ -69,9 +71,9 @@
         try (s) {
             InputStream in = s.getInputStream();
             OutputStream out = s.getOutputStream();
-            while (true) {
+            for (long idleFrom = System.nanoTime(); ; idleFrom = System.nanoTime()) {
                 String request = read(in);
-                if (request == null) {
+                if (request == null || System.nanoTime() - idleFrom > forgetsAfterNanos) {
                     return;
                 }
                 requests.add(request);
