--- a/src/main/java/org/otterpond/cargo/Passage.java
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -21,6 +21,8 @@
     private final long deadline;
     private final long refuseAt;
 
+    /** Whether there are tenants, so that an access key is no worker's business. */
+    boolean tenanted;
     int attempts;
     String key;
     String token;
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -270,7 +270,9 @@
         long aim = route.aimMicros() > 0 ? route.aimMicros() : DEFAULT_AIM;
         long refuse = Math.min(aim / 4 - 10_000, left / 2);
         Fairway f = fairway(route.serviceFor((long) (random.nextDouble() * route.totalWeight())));
-        Passage p = new Passage(call, route, shipper, f, call.receivedAt() + left, call.receivedAt() + Math.max(20_000, refuse));
+        Passage p = new Passage(call, route, shipper, f, call.receivedAt() + left,
+                call.receivedAt() + Math.max(20_000, refuse));
+        p.tenanted = configuration.closed();
         if (p.keyed()) {
             p.key = r.first(KEY);
             if (p.key == null || p.key.isEmpty()) {
@@ -641,7 +643,7 @@
         Missive r = p.call.request();
         Missive m = Missive.request(r.method(), r.target());
         copyHeaders(r, m, true);
-        if (p.shipper != null || p.route.open()) {
+        if (p.tenanted) {
             m.headers().removeHeaders(AUTHORIZATION);
         }
         m.header(TIME_LEFT, Long.toString(Math.max(1, left / 1000)));
