--- a/src/main/java/org/otterpond/quay/Links.java
+++ b/src/main/java/org/otterpond/quay/Links.java
@@ -70,6 +70,8 @@
         if (l == null) {
             Long failed = failedAt.get(to);
             if (failed != null && Quay.now() - failed < RECONNECT) {
+                // Too soon to dial again: whoever waits for an answer must know that nothing went out.
+                quay.execute(() -> lost.accept(to, true));
                 return;
             }
             try {
@@ -77,6 +79,7 @@
                 l.connect(address(to));
             } catch (IOException | RuntimeException e) {
                 failedAt.put(to, Quay.now());
+                quay.execute(() -> lost.accept(to, true));
                 return;
             }
             links.put(to, l);
