After a start of everything keys are trusted with the first answers

Early polls are answered 10 ms after the epoch began, and an answer that told of old authority is followed by another at once. The test after a start of everything asks for it.

--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -23,6 +23,9 @@
     private static final long DRAIN_WAIT = 800_000;
     /** So long after an epoch began, every node in touch has shown itself to the new primary. */
     private static final long ALL_POLLED = 400_000;
+    private static final long FOLLOWED = 10_000;
+    /** An answer that tells of authority older than this is followed by another as soon as there is better to tell. */
+    private static final long DOUBTFUL = 500_000;
     private static final long EMPTY_AT_FIRST = 1_000_000;
     private static final long MEMBER_DEAD = 1_500_000;
     private static final long MEMBER_DROP = 6_000_000;
@@ -62,6 +65,7 @@
         long tableVersion;
         long nodesVersion = -1;
         long firstSeen;
+        boolean doubtful;
     }
 
     private record Early(Flag poll, long at) {}
@@ -105,7 +109,12 @@
         long now = deck.now();
         // An older one may be of a process, or of a disk, that is no more.
         polls.values().removeIf(p -> now - p.at() > EARLY_KEPT);
-        deck.after(0, () -> polls.forEach((from, p) -> onPoll(from, p.poll())));
+        // A moment later the backups have said that they follow, which the answers must tell.
+        deck.after(FOLLOWED, () -> polls.forEach((from, p) -> {
+            if (!leases.containsKey(from)) {
+                onPoll(from, p.poll());
+            }
+        }));
     }
 
     void steppedDown() {
@@ -183,10 +192,12 @@
         if (!config && !table && !fresh && l.nodesVersion >= 0 && !now) {
             return;
         }
+        long back = Math.max(0, l.heldSince - watch.followedSince());
+        l.doubtful = back > DOUBTFUL;
         Flag news = new Flag("news").with("epoch", epoch).with("ver", register.version())
                 .with("pn", l.poll.number("pn")).with("rev", watch.committedRevision())
                 // How long before the poll came this node is known to have led.
-                .with("back", Math.max(0, l.heldSince - watch.followedSince()));
+                .with("back", back);
         if (fresh || nodes) {
             if (plan == null || plan.version() != nodesVersion) {
                 plan = plan();
@@ -256,7 +267,8 @@
         while (it.hasNext()) {
             Map.Entry<String, Lease> e = it.next();
             Lease l = e.getValue();
-            if (l.waiting && now - l.heldSince > POLL_HOLD) {
+            boolean better = l.doubtful && now - watch.followedSince() < DOUBTFUL;
+            if (l.waiting && (better || now - l.heldSince > POLL_HOLD)) {
                 answer(e.getKey(), l, true);
             }
             if (now - l.at > LEASE) {
--- a/src/test/java/org/otterpond/sim/FleetFaultsTest.java
+++ b/src/test/java/org/otterpond/sim/FleetFaultsTest.java
@@ -234,6 +234,7 @@
             f.world.run(900_000);
             for (SimNode n : f.all) {
                 assertTrue(n.node.revision() > 0, () -> n.address + " has no configuration\n" + f.tail());
+                assertTrue(f.world.now() - n.node.freshAt() < S, () -> n.address + " trusts no keys " + (f.world.now() - n.node.freshAt()) + "\n" + f.tail());
                 assertEquals(VesselState.IN_SERVICE, n.workers.get("w1").state(), n.address);
             }
             settles(f, 3 * S);
