Large configurations: packed on their way to the primary, read from core nodes

A node without a disk sent the 350 kB text to the primary over a 2 Mbit/s link and again every 0.25 s. A read of a large configuration is sent on (307) to a node with a disk, whose link is fifty times as wide.

--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -43,6 +43,7 @@
     private int helloTurn;
 
     private JsonObject configuration;
+    private int configurationSize;
     private long revision;
     private final Map<String, Vessel> roster = new LinkedHashMap<>();
     private final Map<String, Long> endedAt = new HashMap<>();
@@ -322,8 +323,8 @@
     }
 
     /**
-     * Where a worker of the zone had best send its later beats, or null: to a node with a disk, so that beats reach
-     * the primary in few messages. Nobody is sent away from such a node, or while this one may be out of touch.
+     * Where a caller had best go, or null: to a node with a disk, of the zone if there is one, and always the same for
+     * one instance of a worker. Nobody is sent away from such a node, or while this one may be out of touch.
      */
     public String beacon(String zone, String instance) {
         if (me.diskId() != null || outOfTouch() || beacons.isEmpty()) {
@@ -332,7 +333,8 @@
         List<String> near = beacons.entrySet().stream().filter(e -> e.getValue().equals(zone))
                 .map(Map.Entry::getKey).toList();
         List<String> from = near.isEmpty() ? List.copyOf(beacons.keySet()) : near;
-        return from.get(Math.floorMod(instance.hashCode(), from.size()));
+        int at = instance.isEmpty() ? (int) deck.random(from.size()) : Math.floorMod(instance.hashCode(), from.size());
+        return from.get(at);
     }
 
     /** Takes a newer configuration; a change to another base is passed over, the next poll says what is held. */
@@ -352,6 +354,7 @@
             }
             shore.configured(ConfigurationReader.read(next));
             configuration = next;
+            configurationSize = next.toString().length();
             revision = f.number("cfg");
             deck.event("event=configuration_in_force revision=" + revision);
         } catch (ChartException | SignalException e) {
@@ -380,6 +383,11 @@
         return known;
     }
 
+    /** How long the text of what is in force here is, about. */
+    public int configurationSize() {
+        return configurationSize;
+    }
+
     public long revision() {
         return revision;
     }
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -14,6 +14,7 @@
 import org.otterpond.chart.Fields;
 import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
+import org.otterpond.signal.SignalException;
 
 /** What the primary does for the nodes: leases and long polls, the worker table, configuration, operation keys. */
 final class Helm {
@@ -385,7 +386,7 @@
             case "read" -> watch.confirm(ok -> {
                 if (ok) {
                     reply.accept(new Flag("reply").with("rev", watch.committedRevision())
-                            .with("text", watch.committedText()));
+                            .with("text", watch.committedText() == null ? null : packedText()));
                 }
             });
             case "status" -> watch.confirm(ok -> reply.accept(status(ok)));
@@ -522,7 +523,13 @@
     }
 
     private void write(Flag ask, Consumer<Flag> reply) {
-        String text = ask.text("text");
+        String text;
+        try {
+            text = Bale.unpackText(ask.bytes("text"));
+        } catch (SignalException e) {
+            reply.accept(verdict(400, "body: unreadable on its way"));
+            return;
+        }
         long base = ask.number("base");
         String kind = ask.text("kind");
         String digest = Hashing.sha256().hashString(kind + "\n" + base + "\n" + text, StandardCharsets.UTF_8)
--- a/src/main/java/org/otterpond/keel/HarbourOffice.java
+++ b/src/main/java/org/otterpond/keel/HarbourOffice.java
@@ -17,7 +17,9 @@
 import org.otterpond.quay.Missive;
 import org.otterpond.quay.Quay;
 import org.otterpond.quay.Replies;
+import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
+import org.otterpond.signal.SignalException;
 
 /** The control point: workers' beats, the operator's calls, status and metrics. */
 final class HarbourOffice implements CallHandler {
@@ -27,6 +29,7 @@
     private static final long BIG_ASK = 2_500_000;
     private static final int BIG_TEXT = 64 * 1024;
     private static final long RESEND = 250_000;
+    private static final long BIG_RESEND = 1_200_000;
     private static final Limits LIMITS = new Limits(32 * 1024, 16L << 20, 5_000_000, 20_000_000);
 
     private final HarbourNode node;
@@ -105,20 +108,24 @@
                 : Replies.unavailable("the primary did not confirm it", 0.1)));
     }
 
+    private String controlPointOf(String internalAddress) {
+        return internalAddress.substring(0, internalAddress.lastIndexOf(':')) + controlPort;
+    }
+
     private String acknowledgement(Vessel v) {
         String beacon = v.state() == VesselState.IN_SERVICE ? node.beacon(v.zone(), v.id()) : null;
         if (beacon == null) {
             return "{}";
         }
         JsonObject o = new JsonObject();
-        o.addProperty("heartbeat_target", beacon.substring(0, beacon.lastIndexOf(':')) + controlPort);
+        o.addProperty("heartbeat_target", controlPointOf(beacon));
         return o.toString();
     }
 
     // -------------------------------------------------------------- operator
 
-    private void ask(Call call, Flag f, long time, Consumer<Flag> use) {
-        node.ask(f, time, RESEND, r -> {
+    private void ask(Call call, Flag f, long time, long resend, Consumer<Flag> use) {
+        node.ask(f, time, resend, r -> {
             if (r == null) {
                 call.answer(Replies.problem(504, "no clear answer from the primary"));
             } else {
@@ -136,25 +143,43 @@
         } catch (NumberFormatException e) {
             throw new ChartException("X-Otterpond-Base-Revision: a whole number is wanted");
         }
-        Flag f = new Flag("ask").with("op", "write").with("kind", kind).with("base", number).with("text", text);
-        ask(call, f, text.length() > BIG_TEXT ? BIG_ASK : ASK, r -> {
+        // Packed, and if large sent again seldom: the links of nodes without a disk are narrow.
+        boolean big = text.length() > BIG_TEXT;
+        Flag f = new Flag("ask").with("op", "write").with("kind", kind).with("base", number)
+                .with("text", Bale.pack(text));
+        ask(call, f, big ? BIG_ASK : ASK, big ? BIG_RESEND : RESEND, r -> {
             int status = (int) r.number("status");
             call.answer(status == 200 ? Replies.json(200, "{}") : Replies.problem(status, r.text("cause")));
         });
     }
 
     private void read(Call call) {
-        ask(call, new Flag("ask").with("op", "read"), ASK, r -> {
-            if (r.text("text") == null) {
+        String beacon = node.configurationSize() > BIG_TEXT ? node.beacon("", "") : null;
+        if (beacon != null) {
+            // A node with a disk has the wider link, too.
+            call.answer(Replies.problem(307, "a large configuration is had from a core node")
+                    .header("Location", "http://" + controlPointOf(beacon) + "/-/Configuration.Read"));
+            return;
+        }
+        ask(call, new Flag("ask").with("op", "read"), ASK, RESEND, r -> {
+            if (!r.has("text")) {
                 call.answer(Replies.problem(404, "no configuration yet"));
             } else {
-                call.answer(Replies.json(200, r.text("text")));
+                call.answer(Replies.json(200, unpacked(r)));
             }
         });
     }
 
+    private static String unpacked(Flag reply) {
+        try {
+            return Bale.unpackText(reply.bytes("text"));
+        } catch (SignalException e) {
+            throw new IllegalStateException("what the primary packed is unreadable here", e);
+        }
+    }
+
     private void status(Call call) {
-        ask(call, new Flag("ask").with("op", "status"), ASK, r -> {
+        ask(call, new Flag("ask").with("op", "status"), ASK, RESEND, r -> {
             JsonObject o = new JsonObject();
             EpochRecord e = EpochRecord.of(r.flag("record"));
             o.addProperty("confirmed", r.truth("confirmed"));
--- a/src/test/java/org/otterpond/sim/SimFleet.java
+++ b/src/test/java/org/otterpond/sim/SimFleet.java
@@ -9,6 +9,7 @@
 import org.otterpond.harbour.Vessel;
 import org.otterpond.harbour.VesselState;
 import org.otterpond.harbour.WatchTimes;
+import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
 
 /** A whole system with its callers: an operator who changes the configuration, clients with operation keys. */
@@ -107,7 +108,8 @@
                 + "{\"name\":\"" + TENANT + "\",\"access_keys\":[\"" + Checker.keyOf(revision) + "\",\""
                 + Checker.keyOf(base) + "\"],\"rate_per_s\":" + RATE + ",\"burst_size\":" + BURST + "}]}";
         boolean[] first = {tries == 4};
-        n.node.ask(new Flag("ask").with("op", "write").with("kind", "replace").with("base", base).with("text", text),
+        n.node.ask(new Flag("ask").with("op", "write").with("kind", "replace").with("base", base)
+                .with("text", Bale.pack(text)),
                 900_000, 250_000, r -> {
                     if (r == null) {
                         world.at(100_000, () -> write(base, revision, tries - 1, then));
