Read again: one clamp for what the quota owner says, no second reading of a change

Retry-After and the pause before asking again stood in Stores and in Pilotage; a committed change was parsed and checked once more for its limits, and a whole configuration was written out again at every node only to learn its length. Behaviour as before; tests pass.

--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -491,9 +491,9 @@
     private void unlent(Passage p, Flag lent) {
         long half = (p.deadline() - p.call.receivedAt()) / 2;
         if (lent.truth("over")) {
-            overQuota(p, Math.max(0.3, Math.min(5, lent.number("again") / 1e6)));
+            overQuota(p, Stores.retryAfter(lent));
         } else if (p.deadline() - Quay.now() > half) {
-            quay.after(Math.max(20_000, Math.min(120_000, lent.number("again"))), () -> again(p));
+            quay.after(Stores.pause(lent), () -> again(p));
         } else {
             overQuota(p, -1);
         }
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -344,17 +344,21 @@
         }
         try {
             JsonObject next;
+            int size;
             if (f.has("change")) {
                 if (f.number("base") != revision) {
                     return;
                 }
                 next = ConfigurationReader.modify(configuration, Fields.parse(Bale.unpackText(f.bytes("change"))));
+                size = next.toString().length();
             } else {
-                next = Fields.parse(Bale.unpackText(f.bytes("text")));
+                String text = Bale.unpackText(f.bytes("text"));
+                next = Fields.parse(text);
+                size = text.length();
             }
             shore.configured(ConfigurationReader.read(next));
             configuration = next;
-            configurationSize = next.toString().length();
+            configurationSize = size;
             revision = f.number("cfg");
             deck.event("event=configuration_in_force revision=" + revision);
         } catch (ChartException | SignalException e) {
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.otterpond.chart.ChartException;
+import org.otterpond.chart.Configuration;
 import org.otterpond.chart.ConfigurationReader;
 import org.otterpond.chart.Fields;
 import org.otterpond.signal.Bale;
@@ -394,7 +395,7 @@
         }
     }
 
-    /** Reads the limits in force for the quotas. */
+    /** Reads the limits in force for the quotas, as a new primary finds them. */
     private void stock() {
         if (watch.committedText() == null) {
             return;
@@ -542,6 +543,7 @@
             return;
         }
         JsonObject whole;
+        Configuration checked;
         long revision;
         try {
             JsonObject given = Fields.parse(text);
@@ -566,7 +568,7 @@
             } else {
                 whole = given;
             }
-            ConfigurationReader.read(whole);
+            checked = ConfigurationReader.read(whole);
         } catch (ChartException e) {
             reply.accept(verdict(400, e.getMessage()));
             return;
@@ -582,7 +584,7 @@
                     lastChange = kind.equals("modify")
                             ? new Flag("change").with("base", base).with("rev", revision)
                                     .with("change", Bale.pack(text)) : null;
-                    stock();
+                    chandlery.configured(checked, deck.now());
                     deck.event("event=configuration_taken revision=" + revision + " base=" + base);
                     w.replies.forEach(r -> r.accept(verdict(200, null)));
                     newsDue();
--- a/src/main/java/org/otterpond/harbour/Stores.java
+++ b/src/main/java/org/otterpond/harbour/Stores.java
@@ -190,7 +190,7 @@
                 again = Math.min(again, lent(r.number("term"), lent, asked, true));
             }
             if (again < Long.MAX_VALUE) {
-                askSoon(Math.max(AGAIN_LEAST, Math.min(AGAIN_MOST, again)));
+                askSoon(pause(again));
             } else if (shelves.values().stream().anyMatch(s -> !s.takers.isEmpty())) {
                 askSoon(GATHER);
             }
@@ -232,7 +232,7 @@
             return Long.MAX_VALUE;
         }
         if (lent.truth("over")) {
-            double later = Math.max(0.3, Math.min(5, lent.number("again") / 1e6));
+            double later = retryAfter(lent);
             List<Taker> out = new ArrayList<>(s.takers);
             s.takers.clear();
             out.forEach(t -> t.over(later));
@@ -241,7 +241,21 @@
         return lent.number("again");
     }
 
-    /** Forgets tenants long unused. */
+    /** In how many seconds a caller beyond its quota had best come back, by what the owner said. */
+    public static double retryAfter(Flag lent) {
+        return Math.max(0.3, Math.min(5, lent.number("again") / 1e6));
+    }
+
+    /** When to ask again where the owner could lend nothing yet. */
+    public static long pause(Flag lent) {
+        return pause(lent.number("again"));
+    }
+
+    private static long pause(long again) {
+        return Math.max(AGAIN_LEAST, Math.min(AGAIN_MOST, again));
+    }
+
+    /** Gives idle reserves back. */
     public void sweep() {
         long now = deck.now();
         Iterator<Shelf> it = shelves.values().iterator();
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -973,8 +973,8 @@
                 quietUntil = Math.max(quietUntil, deck.now() + times.authority());
             }
         }
-        deck.send(from, new Flag("pong").with("at", follows ? f.number("at") : null).with("id", self.diskId()).with("epoch", record.epoch())
-                .with("promised", promised).with("disk", diskBad ? true : null)
+        deck.send(from, new Flag("pong").with("at", follows ? f.number("at") : null).with("id", self.diskId())
+                .with("epoch", record.epoch()).with("promised", promised).with("disk", diskBad ? true : null)
                 .with("record", record.epoch() > e ? record.toFlag() : null));
     }
 
