--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -597,13 +597,18 @@
     private Flag status(boolean confirmed) {
         EpochRecord r = watch.record();
         List<Flag> nodes = new ArrayList<>();
+        long now = deck.now();
         leases.forEach((a, l) -> nodes.add(new Flag("node").with("name", l.poll.text("name")).with("addr", a)
-                .with("cfg", l.poll.number("cfg"))));
+                .with("zone", l.poll.text("zone")).with("cfg", l.poll.number("cfg")).with("silent_ms",
+                        Math.max(0, now - l.at) / 1000)));
+        List<Object> silent = new ArrayList<>();
+        r.members().stream().filter(m -> !m.diskId().equals(self.diskId()) && watch.silent(m, MEMBER_DEAD))
+                .forEach(m -> silent.add(m.name()));
         List<Flag> vessels = new ArrayList<>();
-        register.newerThan(0).forEach(v -> vessels.add(v.toFlag(deck.now())));
-        return new Flag("reply").with("confirmed", confirmed).with("record", r.toFlag())
+        register.newerThan(0).forEach(v -> vessels.add(v.toFlag(now)));
+        return new Flag("reply").with("confirmed", confirmed).with("record", r.toFlag()).with("silent", silent)
                 .with("rev", watch.committedRevision()).with("claims", watch.hold().claimCount())
                 .withFlags("nodes", nodes).withFlags("workers", vessels)
-                .withFlags("quotas", chandlery.status(deck.now()));
+                .withFlags("quotas", chandlery.status(now));
     }
 }
--- a/src/main/java/org/otterpond/keel/HarbourOffice.java
+++ b/src/main/java/org/otterpond/keel/HarbourOffice.java
@@ -191,9 +191,12 @@
             JsonArray members = new JsonArray();
             e.members().forEach(m -> members.add(m.name()));
             o.add("core", members);
+            JsonArray silent = new JsonArray();
+            r.list("silent").forEach(m -> silent.add((String) m));
+            o.add("core_silent", silent);
             o.addProperty("revision", r.number("rev"));
             o.addProperty("claims", r.number("claims"));
-            o.add("nodes", rows(r, "nodes", "name", "addr", "cfg"));
+            o.add("nodes", rows(r, "nodes", "name", "addr", "zone", "cfg", "silent_ms"));
             o.add("quotas", rows(r, "quotas", "name", "rate", "burst", "tokens", "out", "granted", "denied"));
             o.add("workers", rows(r, "workers", "id", "service", "addr", "zone", "state", "slots"));
             call.answer(Replies.json(200, o.toString()));
