A leaving node answers all it has read; a new epoch is passed on by the nodes themselves

Now a leaving node takes nothing new on in the 0.8 s before its last moment (503, come to another at once), and at that moment whoever still waits is answered: 503 if nothing was sent, else 502.

The polls of the epoch before are not answered any more, and only the primary's contacts were told: all others waited out POLL_LOST, 1.3 s, and some counted themselves out of touch and refused keys and beats. At twelve nodes nearly all are contacts. Now the primary tells all whose polls it held, and each node passes a new epoch on to five others, four in a ring of its zone and one of the next zone. FleetScaleTest, newEpochIsKnownToAllNodesAtOnce.

--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -65,6 +65,8 @@
     private static final long FETCH = 400_000;
     private static final long LEAST_LEFT = 5_000;
     private static final long REVOKE_MARGIN = 250_000;
+    /** In seconds: another node can take it at once. */
+    private static final double LEFT_RETRY = 0.01;
     /** A request that may run once goes on a connection that has just been used, or on a new one. */
     private static final long IDLE_ONCE = 150_000;
     /** A request earns this much of the ratio, as it can be spent in its own window or in the next. */
@@ -92,7 +94,8 @@
     private boolean leaving;
     private long tokenNumber;
     private boolean waitCheckDue;
-    private int open;
+    private final Set<Passage> inHand = new LinkedHashSet<>();
+    private boolean closing;
 
     public Pilotage(Quay quay, Settings settings, java.util.function.Function<Shore, HarbourNode> nodeFor, long life,
             Tally tally) {
@@ -128,7 +131,32 @@
 
     /** Requests in hand. */
     public int open() {
-        return open;
+        return inHand.size();
+    }
+
+    /** Near the end of a leaving node: what comes now could not be finished and is sent elsewhere at once. */
+    public void close() {
+        closing = true;
+    }
+
+    /** The end: whoever still waits gets an answer in place of a connection that just ends. */
+    public void endAll() {
+        closing = true;
+        List<Call> calls = new ArrayList<>(parked);
+        parked.clear();
+        calls.forEach(this::sendElsewhere);
+        for (Passage p : new ArrayList<>(inHand)) {
+            if (p.open.isEmpty()) {
+                refuse(p, "the node is leaving");
+            } else {
+                giveUp(p, Replies.problem(502, "the node ended before the worker answered"));
+            }
+        }
+    }
+
+    private void sendElsewhere(Call call) {
+        tally.refused.increment();
+        call.answer(Replies.unavailable("the node is leaving", LEFT_RETRY));
     }
 
     @Override
@@ -226,6 +254,10 @@
     public void handle(Call call) {
         Missive r = call.request();
         long now = Quay.now();
+        if (closing) {
+            sendElsewhere(call);
+            return;
+        }
         if (configuration == null) {
             park(call);
             return;
@@ -284,7 +316,7 @@
             p.token = Long.toHexString(life) + "-" + Long.toHexString(++tokenNumber);
         }
         f.purse.earn(settings.retryRatio() * EARNED, now);
-        open++;
+        inHand.add(p);
         p.timer = quay.after(p.deadline() - now, () -> deadline(p));
         if (p.keyed()) {
             claim(p);
@@ -397,7 +429,7 @@
             return;
         }
         p.finished = true;
-        open--;
+        inHand.remove(p);
         p.timer.cancel();
         if (p.hedge != null) {
             p.hedge.cancel();
@@ -411,9 +443,14 @@
     }
 
     private void deadline(Passage p) {
-        if (p.finished) {
-            return;
+        if (!p.finished) {
+            tally.timeouts.increment();
+            giveUp(p, Replies.problem(504, "no answer in time"));
         }
+    }
+
+    /** Ends it with attempts open, if any: they may run or have run, and that is never known. */
+    private void giveUp(Passage p, Missive answer) {
         for (Attempt a : List.copyOf(p.open)) {
             p.mayHaveRun = true;
             release(p, a);
@@ -424,8 +461,7 @@
         if (p.keyed()) {
             settleUnknown(p);
         }
-        tally.timeouts.increment();
-        finish(p, Replies.problem(504, "no answer in time"));
+        finish(p, answer);
     }
 
     // ------------------------------------------------------------------ keys
--- a/src/main/java/org/otterpond/harbour/FleetPlan.java
+++ b/src/main/java/org/otterpond/harbour/FleetPlan.java
@@ -1,7 +1,6 @@
 package org.otterpond.harbour;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -10,10 +9,11 @@
 
 /**
  * The nodes that hold a lease, as each of them needs to know them: how many there are in each zone, its own place among
- * those of its zone, and the nodes with a disk, to which workers may be sent with their beats. Its size does not grow
- * with the number of nodes.
+ * those of its zone, the few whom it tells of a new epoch (the next in a ring of its zone, and one of the next zone),
+ * and the nodes with a disk, to which workers may be sent with their beats. Its size does not grow with the number of
+ * nodes.
  */
-record FleetPlan(long version, Map<String, List<String>> zones, Map<String, String> beacons) {
+record FleetPlan(long version, TreeMap<String, List<String>> zones, Map<String, String> beacons) {
     private static final int CONTACTS = 4;
 
     /** @param polls the newest poll of each node, by its address */
@@ -26,7 +26,7 @@
                 beacons.put(address, poll.text("zone"));
             }
         });
-        Map<String, List<String>> zones = new HashMap<>();
+        TreeMap<String, List<String>> zones = new TreeMap<>();
         sorted.forEach((z, a) -> zones.put(z, List.copyOf(a)));
         return new FleetPlan(version, zones, beacons);
     }
@@ -43,6 +43,11 @@
         for (int i = 1; i <= Math.min(CONTACTS, own.size() - 1); i++) {
             contacts.add(own.get((rank + i) % own.size()));
         }
+        Map.Entry<String, List<String>> next = zones.higherEntry(zone);
+        List<String> other = (next == null ? zones.firstEntry() : next).getValue();
+        if (other != own) {
+            contacts.add(other.get(rank % other.size()));
+        }
         List<Object> lights = new ArrayList<>();
         beacons.forEach((a, z) -> {
             lights.add(z);
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -60,6 +61,8 @@
     /** The newest moment at which this node's configuration is known to have been the newest acknowledged. */
     private long freshAt = Long.MIN_VALUE / 2;
     private final Map<String, String> beacons = new LinkedHashMap<>();
+    /** The few nodes whom this one tells of a new epoch, as the fleet's plan has it. */
+    private final List<String> neighbours = new ArrayList<>();
 
     private final Map<Long, Ask> asks = new LinkedHashMap<>();
     private long askNumber;
@@ -203,14 +206,20 @@
             }
         });
         asks.values().forEach(this::sendAsk);
+        // Passed on at once: who waits for an answer of the primary before would find out by its silence only.
+        tell(neighbours, r);
+    }
+
+    private void tell(Collection<String> nodes, EpochRecord r) {
+        Flag f = new Flag("harbour").with("record", r.toFlag());
+        nodes.stream().filter(a -> !a.equals(me.address())).forEach(a -> deck.send(a, f));
     }
 
     @Override
     public void began(EpochRecord record, boolean continued) {
         helm.began(continued);
         learnt(record);
-        Flag f = new Flag("harbour").with("record", record.toFlag());
-        contacts.stream().filter(a -> !a.equals(me.address())).forEach(a -> deck.send(a, f));
+        tell(contacts, record);
         asks.values().forEach(this::sendAsk);
     }
 
@@ -280,7 +289,9 @@
         for (int i = 0; i + 1 < zones.size(); i += 2) {
             counts.put((String) zones.get(i), ((Number) zones.get(i + 1)).intValue());
         }
-        fleet.list("contacts").forEach(c -> contacts.add((String) c));
+        neighbours.clear();
+        fleet.list("contacts").forEach(c -> neighbours.add((String) c));
+        contacts.addAll(neighbours);
         beacons.clear();
         List<Object> lights = fleet.list("beacons");
         for (int i = 0; i + 1 < lights.size(); i += 2) {
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -101,6 +101,9 @@
         stock();
         register.reset(deck.now());
         watch.hold().workers().forEach(w -> register.take(Vessel.of(w, deck.now()), deck.now()));
+        // Their polls were of the epoch before, and are answered no more.
+        Flag begun = new Flag("harbour").with("record", watch.record().toFlag());
+        leases.keySet().forEach(a -> deck.send(a, begun));
         leases.clear();
         drains.clear();
         lastChange = null;
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -32,6 +32,10 @@
     private static final long SETTINGS_CHECK = 2_000_000;
     private static final long LEAVE_LEAST = 3_200_000;
     private static final long LEAVE_MARGIN = 700_000;
+    /** So long before the last moment nothing new is taken on: it could hardly be finished. */
+    private static final long LEAVE_LAST = 800_000;
+    /** For the last answers to go out, and for claims that are in flight to be freed. */
+    private static final long LEAVE_FLUSH = 200_000;
     private static final long BODY_BOUND = 8L << 20;
 
     private final Path file;
@@ -41,10 +45,17 @@
     private FrontDoor front;
     private long lastModified;
     private boolean leaving;
+    private final Runnable end;
 
     public Keel(Path file, Settings settings) throws IOException {
+        this(file, settings, () -> Runtime.getRuntime().halt(0));
+    }
+
+    /** @param end what ends the process once the node has left */
+    Keel(Path file, Settings settings, Runnable end) throws IOException {
         this.file = file;
         this.settings = settings;
+        this.end = end;
         this.quay = new Quay();
     }
 
@@ -172,22 +183,25 @@
             LOG.info("event=leaving node={}", settings.nodeName());
             pilotage.leave();
             pilotage.node().retire();
-            long began = Quay.now();
-            quay.after(LEAVE_LEAST, () -> checkLeft(began));
+            long last = settings.graceMicros() - LEAVE_MARGIN - LEAVE_FLUSH;
+            long by = Quay.now() + last;
+            quay.after(Math.max(0, last - LEAVE_LAST), pilotage::close);
+            quay.after(Math.min(LEAVE_LEAST, Math.max(0, last)), () -> checkLeft(by));
         });
     }
 
-    private void checkLeft(long began) {
-        boolean late = Quay.now() - began > settings.graceMicros() - LEAVE_MARGIN;
+    private void checkLeft(long by) {
+        boolean late = Quay.now() >= by;
         boolean busy = pilotage.open() > 0 || (front != null && front.busy());
-        if (late || !busy) {
-            if (front != null) {
-                front.closeIdle();
-            }
-            LOG.info("event=left node={} busy={}", settings.nodeName(), busy);
-            quay.after(50_000, () -> Runtime.getRuntime().halt(0));
+        if (!late && busy) {
+            quay.after(50_000, () -> checkLeft(by));
             return;
         }
-        quay.after(50_000, () -> checkLeft(began));
+        LOG.info("event=left node={} busy={}", settings.nodeName(), busy);
+        pilotage.endAll();
+        if (front != null) {
+            front.closeIdle();
+        }
+        quay.after(busy ? LEAVE_FLUSH : 50_000, end);
     }
 }
--- /dev/null
+++ b/src/test/java/org/otterpond/keel/LeavingTest.java
@@ -0,0 +1,130 @@
+package org.otterpond.keel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.otterpond.chart.Settings;
+
+/** A node that is told to end: whatever it has read gets a whole answer. */
+class LeavingTest {
+    private static int freePort() throws Exception {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+
+    private static String get(String path, String id) {
+        return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Otterpond-Attempt-Id: " + id
+                + "\r\nX-Otterpond-Operation-Key: " + id + "\r\n\r\n";
+    }
+
+    private static String call(int port, String request) throws Exception {
+        try (RawClient c = new RawClient(port)) {
+            return c.send(request).answer();
+        }
+    }
+
+    private static void untilAnswered(int port, String request) throws Exception {
+        String last = "";
+        for (int i = 0; i < 200; i++) {
+            try {
+                last = call(port, request);
+                if (last.startsWith("HTTP/1.1 200")) {
+                    return;
+                }
+            } catch (java.io.IOException e) {
+                last = e.toString();
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        throw new IllegalStateException("never answered 200: " + last);
+    }
+
+    @Test
+    void whatIsInHandAtTheEndIsAnsweredAndWhatComesLateIsSentElsewhere(@TempDir Path folder) throws Exception {
+        int front = freePort();
+        int control = freePort();
+        int internal = freePort();
+        Path file = folder.resolve("local.json");
+        Files.writeString(file, "{\"node_name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"listen_points\":{"
+                + "\"front_plain\":\"127.0.0.1:" + front + "\",\"control_point\":\"127.0.0.1:" + control
+                + "\"},\"internal_port_range\":[" + internal + "," + internal + "],\"seed_peers\":[\"127.0.0.1:"
+                + control + "\"],\"initial_start\":true,\"data_dir\":\"" + folder.resolve("data")
+                + "\",\"bounds\":{\"grace_s\":2.5}}");
+        CountDownLatch ended = new CountDownLatch(1);
+        Keel keel = new Keel(file, Settings.load(file), ended::countDown);
+        Thread t = new Thread(() -> {
+            try {
+                keel.run();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+        ScriptedWorker worker = new ScriptedWorker();
+        CountDownLatch never = new CountDownLatch(1);
+        CountDownLatch reached = new CountDownLatch(2);
+        worker.script = r -> {
+            if (r.contains("/stuck")) {
+                reached.countDown();
+                try {
+                    never.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+            return ScriptedWorker.ok(r, "hello");
+        };
+        String config = "{\"revision\":1,\"route_table\":[" + route("i", "/i/", "idempotent") + ","
+                + route("k", "/k/", "keyed") + "],\"service_table\":[{\"name\":\"s\"}]}";
+        untilAnswered(control, "POST /-/Configuration.Replace HTTP/1.1\r\nHost: c\r\nX-Otterpond-Base-Revision: 0\r\n"
+                + "Content-Length: " + config.length() + "\r\n\r\n" + config);
+        String beat = "{\"target_service\":\"s\",\"address\":\"127.0.0.1:" + worker.port()
+                + "\",\"zone\":\"z\",\"capacity_slots\":8,\"state\":\"in_service\",\"call_sequence\":1}";
+        untilAnswered(control, "POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: c\r\nContent-Length: "
+                + beat.length() + "\r\n\r\n" + beat);
+        untilAnswered(front, get("/k/first", "a0"));
+        CompletableFuture<String> once = later(front, get("/k/stuck", "a1"));
+        CompletableFuture<String> often = later(front, get("/i/stuck", "a2"));
+        assertTrue(reached.await(5, TimeUnit.SECONDS));
+
+        keel.leave();
+        assertTrue(call(front, get("/i/early", "a3")).startsWith("HTTP/1.1 200"), "there is time for it");
+        String late = "";
+        for (int i = 0; i < 60 && !late.startsWith("HTTP/1.1 503"); i++) {
+            TimeUnit.MILLISECONDS.sleep(25);
+            late = call(front, get("/k/late", "b" + i));
+        }
+        assertTrue(late.startsWith("HTTP/1.1 503") && late.contains("Connection: close"), late);
+        assertEquals(1, ended.getCount(), "it was refused before the end");
+        assertTrue(once.get(5, TimeUnit.SECONDS).startsWith("HTTP/1.1 502"), once.get());
+        assertTrue(often.get(5, TimeUnit.SECONDS).startsWith("HTTP/1.1 502"), often.get());
+        assertTrue(ended.await(3, TimeUnit.SECONDS));
+        worker.close();
+    }
+
+    private static CompletableFuture<String> later(int port, String request) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return call(port, request);
+            } catch (Exception e) {
+                return e.toString();
+            }
+        });
+    }
+
+    private static String route(String name, String prefix, String type) {
+        return "{\"name\":\"" + name + "\",\"host_name\":\"h.example\",\"path_prefix\":\"" + prefix
+                + "\",\"route_type\":\"" + type + "\",\"guard_timer_ms\":10000,\"target_latency_ms\":9000,"
+                + "\"target_service\":\"s\",\"max_attempts\":2}";
+    }
+}
--- a/src/test/java/org/otterpond/sim/FleetScaleTest.java
+++ b/src/test/java/org/otterpond/sim/FleetScaleTest.java
@@ -101,6 +101,29 @@
         return f.world.log.stream().filter(l -> l.contains("event=epoch_began")).count();
     }
 
+    /** A new epoch, of the same primary or of another, is known to all well before they miss the old one's answers. */
+    @Test
+    void newEpochIsKnownToAllNodesAtOnce() {
+        for (boolean ofPrimary : new boolean[] {false, true}) {
+            SimFleet f = founded(341, 6, 94);
+            f.change(() -> { });
+            f.world.run(3 * S);
+            SimNode leader = f.leader();
+            String backup = leader.node.known().backups().get(0).address();
+            long before = epochs(f);
+            (ofPrimary ? leader : f.world.nodes.get(backup)).losePower();
+            for (int i = 0; i < 40 && epochs(f) == before; i++) {
+                f.world.run(50_000);
+            }
+            f.world.run(100_000);
+            assertTrue(epochs(f) > before, () -> f.tail());
+            long newest = f.leader().node.known().epoch();
+            List<String> behind = f.all.stream().filter(n -> n.up() && n.node.known().epoch() < newest)
+                    .map(n -> n.address).toList();
+            assertEquals(List.of(), behind);
+        }
+    }
+
     private record Load(double messages, double bytes) {}
 
     /** What one second costs the primary, and the busiest of the nodes without a disk, in a fleet at rest. */
