A change of the core's members waits for one batch, not for a moment without claims

A change of members was begun only when no claim was on its way, and with 365 claims a second there hardly is such a moment; at small sizes there is one most of the time. Meanwhile two of six members were dead identities, so two more losses would have left no majority. Ruled out: the newcomer (it polled throughout), the promise of the others (no candidacy before 37.893). Now the change begins as soon as the batch on its way is committed; what has come meanwhile goes into the new epoch, as it does when a backup is lost. FleetScaleTest.wipedDiskIsTakenInAgainHoweverManyClaimsThereAre fails without it.

--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -47,6 +47,8 @@
     private final TreeMap<Long, Batch> batches = new TreeMap<>();
     private Batch open;
     private final List<Batch> waiting = new ArrayList<>();
+    /** The members wanted next, while a batch is on its way. */
+    private List<Berth> changing;
     private final Map<String, Long> backupHeard = new HashMap<>();
     /** For each backup, when the newest question was asked that it answered as a follower of this epoch. */
     private final Map<String, Long> followedAt = new HashMap<>();
@@ -422,7 +424,11 @@
             batches.pollFirstEntry();
             commit(b);
         }
-        closeBatch();
+        if (changing != null) {
+            run(changing);
+        } else {
+            closeBatch();
+        }
     }
 
     private void commit(Batch b) {
@@ -481,10 +487,15 @@
         r.backups().forEach(b -> deck.send(b.address(), f));
     }
 
-    /** Asks for a new epoch with other members. */
+    /** Asks for a new epoch with other members, once the batch on its way is committed: there is always a next one. */
     public void changeMembers(List<Berth> members) {
-        if (leading() && batches.isEmpty() && open == null) {
+        if (!leading()) {
+            return;
+        }
+        if (batches.isEmpty()) {
             run(members);
+        } else {
+            changing = members;
         }
     }
 
@@ -500,6 +511,7 @@
         batches.clear();
         waiting.clear();
         open = null;
+        changing = null;
         confirms.values().forEach(c -> deck.after(0, () -> c.answer.accept(false)));
         confirms.clear();
         primaryHeard = deck.now();
@@ -509,6 +521,7 @@
     // ------------------------------------------------------------- candidacy
 
     private void run(List<Berth> members) {
+        changing = null;
         if (open != null) {
             journalOpen(++seq);
         }
--- a/src/test/java/org/otterpond/sim/FleetScaleTest.java
+++ b/src/test/java/org/otterpond/sim/FleetScaleTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.otterpond.harbour.Vessel;
 import org.otterpond.harbour.VesselState;
+import org.otterpond.signal.Flag;
 
 /** Large fleets: a hundred nodes, cores of six and seven disks, two losses at once; and what grows with what. */
 class FleetScaleTest {
@@ -101,6 +102,33 @@
         return f.world.log.stream().filter(l -> l.contains("event=epoch_began")).count();
     }
 
+    /** Claims one after another, so that there is hardly a moment without a batch on its way. */
+    private static void pressing(SimFleet f, int number) {
+        SimNode n = f.all.get(f.disks.size() + number % 50);
+        n.node.ask(new Flag("ask").with("op", "claim").with("key", "p" + number).with("token", "t" + number)
+                .with("holder", n.address), 2 * S, S, r -> { });
+        f.world.at(400, () -> pressing(f, number + 1));
+    }
+
+    @Test
+    void wipedDiskIsTakenInAgainHoweverManyClaimsThereAre() {
+        SimFleet f = founded(351, 6, 94);
+        f.change(() -> { });
+        f.world.run(2 * S);
+        pressing(f, 0);
+        f.world.run(S);
+        SimNode wiped = f.disks.stream().filter(d -> !f.leader().node.known().inGroup(d.disk.id)).findFirst()
+                .orElseThrow();
+        wiped.losePower();
+        wiped.disk.wipe();
+        f.world.run(S);
+        wiped.start();
+        f.world.run(2_500_000);
+        assertTrue(f.leader().node.known().hasMember(wiped.disk.id), () -> f.tail());
+        assertEquals(6, f.leader().node.known().members().size());
+        assertEquals(List.of(), f.checker.broken, () -> f.tail());
+    }
+
     /** A new epoch, of the same primary or of another, is known to all well before they miss the old one's answers. */
     @Test
     void newEpochIsKnownToAllNodesAtOnce() {
