Tests: one loopback node serves both test classes

LeavingTest had written the start of a node, its first calls and the search for free ports again. LoopbackNode holds them once; assertions as they were. The node's code is unchanged.

--- a/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
+++ b/src/test/java/org/otterpond/keel/GatewayLoopbackTest.java
@@ -7,7 +7,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -18,7 +17,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.otterpond.chart.Settings;
 import org.otterpond.client.Client;
 
 /** One node over real sockets: what a client, a worker and an operator may do to HTTP. */
@@ -30,24 +28,9 @@
 
     @BeforeAll
     static void startNode(@TempDir Path folder) throws Exception {
-        front = freePort();
-        control = freePort();
-        int internal = freePort();
-        Path file = folder.resolve("local.json");
-        Files.writeString(file, "{\"node_name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"listen_points\":{"
-                + "\"front_plain\":\"127.0.0.1:" + front + "\",\"control_point\":\"127.0.0.1:" + control
-                + "\"},\"internal_port_range\":[" + internal + "," + internal + "],\"seed_peers\":[\"127.0.0.1:"
-                + control + "\"],\"initial_start\":true,\"data_dir\":\"" + folder.resolve("data") + "\"}");
-        Keel keel = new Keel(file, Settings.load(file));
-        Thread t = new Thread(() -> {
-            try {
-                keel.run();
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        t.setDaemon(true);
-        t.start();
+        LoopbackNode node = new LoopbackNode(folder, "", () -> { });
+        front = node.front;
+        control = node.control;
         worker = new ScriptedWorker();
         String config = "{\"revision\":1,\"route_table\":[" + route("plain", "/p/", "idempotent", 1) + ","
                 + route("twice", "/t/", "idempotent", 2) + "," + route("once", "/o/", "non_idempotent", 2) + ","
@@ -58,12 +41,8 @@
                 + "{\"name\":\"small\",\"access_keys\":[\"key-s\"],\"rate_per_s\":5,\"burst_size\":4}],\"service_table\":[{\"name\":\"s\"}],"
                 + "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\"header_timer_ms\":600,"
                 + "\"idle_timer_ms\":15000}}";
-        untilAnswered("POST /-/Configuration.Replace HTTP/1.1\r\nHost: c\r\nX-Otterpond-Base-Revision: 0\r\n"
-                + "Content-Length: " + config.length() + "\r\n\r\n" + config);
-        String beat = "{\"target_service\":\"s\",\"address\":\"127.0.0.1:" + worker.port() + "\",\"zone\":\"z\","
-                + "\"capacity_slots\":8,\"state\":\"in_service\",\"call_sequence\":1}";
-        untilAnswered("POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: c\r\nContent-Length: " + beat.length()
-                + "\r\n\r\n" + beat);
+        node.configure(config);
+        node.beat(worker.port());
         for (int i = 0; i < 100 && status(ask("GET /p/up")) != 200; i++) {
             TimeUnit.MILLISECONDS.sleep(50);
         }
@@ -81,28 +60,6 @@
                 + "\"target_service\":\"s\",\"max_attempts\":" + attempts + "}";
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
-        }
-    }
-
-    private static void untilAnswered(String call) throws Exception {
-        String last = "";
-        for (int i = 0; i < 200; i++) {
-            try (RawClient c = new RawClient(control)) {
-                last = c.send(call).answer();
-                if (status(last) == 200) {
-                    return;
-                }
-            } catch (IOException e) {
-                last = e.toString();
-            }
-            TimeUnit.MILLISECONDS.sleep(50);
-        }
-        throw new IllegalStateException("never answered 200: " + last);
-    }
-
     private static int status(String answer) {
         return answer.startsWith("HTTP/1.1 ") ? Integer.parseInt(answer.substring(9, 12)) : -1;
     }
--- a/src/test/java/org/otterpond/keel/LeavingTest.java
+++ b/src/test/java/org/otterpond/keel/LeavingTest.java
@@ -3,24 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.ServerSocket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.otterpond.chart.Settings;
 
 /** A node that is told to end: whatever it has read gets a whole answer. */
 class LeavingTest {
-    private static int freePort() throws Exception {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
-        }
-    }
-
     private static String get(String path, String id) {
         return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Otterpond-Attempt-Id: " + id
                 + "\r\nX-Otterpond-Operation-Key: " + id + "\r\n\r\n";
@@ -32,44 +23,11 @@
         }
     }
 
-    private static void untilAnswered(int port, String request) throws Exception {
-        String last = "";
-        for (int i = 0; i < 200; i++) {
-            try {
-                last = call(port, request);
-                if (last.startsWith("HTTP/1.1 200")) {
-                    return;
-                }
-            } catch (java.io.IOException e) {
-                last = e.toString();
-            }
-            TimeUnit.MILLISECONDS.sleep(50);
-        }
-        throw new IllegalStateException("never answered 200: " + last);
-    }
-
     @Test
     void whatIsInHandAtTheEndIsAnsweredAndWhatComesLateIsSentElsewhere(@TempDir Path folder) throws Exception {
-        int front = freePort();
-        int control = freePort();
-        int internal = freePort();
-        Path file = folder.resolve("local.json");
-        Files.writeString(file, "{\"node_name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"listen_points\":{"
-                + "\"front_plain\":\"127.0.0.1:" + front + "\",\"control_point\":\"127.0.0.1:" + control
-                + "\"},\"internal_port_range\":[" + internal + "," + internal + "],\"seed_peers\":[\"127.0.0.1:"
-                + control + "\"],\"initial_start\":true,\"data_dir\":\"" + folder.resolve("data")
-                + "\",\"bounds\":{\"grace_s\":3.5}}");
         CountDownLatch ended = new CountDownLatch(1);
-        Keel keel = new Keel(file, Settings.load(file), ended::countDown);
-        Thread t = new Thread(() -> {
-            try {
-                keel.run();
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        t.setDaemon(true);
-        t.start();
+        LoopbackNode node = new LoopbackNode(folder, "\"grace_s\":3.5", ended::countDown);
+        int front = node.front;
         ScriptedWorker worker = new ScriptedWorker();
         CountDownLatch never = new CountDownLatch(1);
         CountDownLatch reached = new CountDownLatch(2);
@@ -84,20 +42,15 @@
             }
             return ScriptedWorker.ok(r, "hello");
         };
-        String config = "{\"revision\":1,\"route_table\":[" + route("i", "/i/", "idempotent") + ","
-                + route("k", "/k/", "keyed") + "],\"service_table\":[{\"name\":\"s\"}]}";
-        untilAnswered(control, "POST /-/Configuration.Replace HTTP/1.1\r\nHost: c\r\nX-Otterpond-Base-Revision: 0\r\n"
-                + "Content-Length: " + config.length() + "\r\n\r\n" + config);
-        String beat = "{\"target_service\":\"s\",\"address\":\"127.0.0.1:" + worker.port()
-                + "\",\"zone\":\"z\",\"capacity_slots\":8,\"state\":\"in_service\",\"call_sequence\":1}";
-        untilAnswered(control, "POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: c\r\nContent-Length: "
-                + beat.length() + "\r\n\r\n" + beat);
-        untilAnswered(front, get("/k/first", "a0"));
+        node.configure("{\"revision\":1,\"route_table\":[" + route("i", "/i/", "idempotent") + ","
+                + route("k", "/k/", "keyed") + "],\"service_table\":[{\"name\":\"s\"}]}");
+        node.beat(worker.port());
+        LoopbackNode.untilAnswered(front, get("/k/first", "a0"));
         CompletableFuture<String> once = later(front, get("/k/stuck", "a1"));
         CompletableFuture<String> often = later(front, get("/i/stuck", "a2"));
         assertTrue(reached.await(5, TimeUnit.SECONDS));
 
-        keel.leave();
+        node.keel.leave();
         assertTrue(call(front, get("/i/early", "a3")).startsWith("HTTP/1.1 200"), "there is time for it");
         String late = "";
         for (int i = 0; i < 120 && !late.startsWith("HTTP/1.1 503"); i++) {
