Message tier, thin: partitions on replica groups, intake, dispatch, retire

The same jar takes messages in on edge nodes and keeps them on storage machines. A partition is a replica group after PacificA (package replica, sans I/O), its configuration manager is the core's primary (harbour.Placement), its state machine the queue (message.MessageQueue).

--- a/src/main/java/org/otterpond/cargo/Fairway.java
+++ b/src/main/java/org/otterpond/cargo/Fairway.java
@@ -45,6 +45,8 @@
     private final Map<String, Double> zoneWeights = new TreeMap<>();
     private final Map<String, List<Hull>> nearByZone = new HashMap<>();
     private int fairPart = 1;
+    /** How many requests of this node one worker may have at once, as each takes a connection. */
+    private int connections = Integer.MAX_VALUE;
 
     Fairway(String name, Random random, Settings settings) {
         this.name = name;
@@ -59,6 +61,11 @@
         stale = true;
     }
 
+    /** The callers of a service share what connections its workers take. */
+    void connections(int each) {
+        connections = Math.max(1, each);
+    }
+
     /** To be called when workers have come, gone or changed. */
     void changed() {
         stale = true;
@@ -169,7 +176,7 @@
         int ties = 0;
         for (Hull h : from) {
             if (h.vessel.state() != VesselState.IN_SERVICE || tried.contains(h.id())
-                    || (heedShunning && (h.shunUntil > now || h.suspect(now))) || h.inFlight >= bound(h)) {
+                    || (heedShunning && (h.shunUntil > now || h.suspect(now))) || h.inFlight >= Math.min(connections, bound(h))) {
                 continue;
             }
             double load = load(h, now);
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -1,7 +1,6 @@
 package org.otterpond.cargo;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,15 +20,12 @@
 import org.otterpond.harbour.Shore;
 import org.otterpond.harbour.Stores;
 import org.otterpond.harbour.Vessel;
-import org.otterpond.harbour.VesselState;
 import org.otterpond.quay.Call;
 import org.otterpond.quay.CallHandler;
-import org.otterpond.quay.Links;
 import org.otterpond.quay.Missive;
 import org.otterpond.quay.Quay;
 import org.otterpond.quay.Reception;
 import org.otterpond.quay.Replies;
-import org.otterpond.quay.TenderPool;
 import org.otterpond.signal.Flag;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,11 +50,9 @@
     private static final Set<String> OWN = Set.of(TIME_LEFT.toLowerCase(Locale.ROOT),
             EXPECTED.toLowerCase(Locale.ROOT), TENANT.toLowerCase(Locale.ROOT));
 
-    private static final long ANSWER_BOUND = 64L << 20;
     private static final long DEFAULT_AIM = 400_000;
     private static final long CONNECT = 250_000;
     private static final long FULL_SHUN = 60_000;
-    private static final long SWEEP = 1_000_000;
     private static final long WAIT_CHECK = 10_000;
     private static final long CLAIM_LEAST = 50_000;
     private static final long PARK_MOST = 600_000;
@@ -78,17 +72,16 @@
     private final Settings settings;
     private final HarbourNode node;
     private final Random random;
-    private final Map<String, Fairway> fairways = new HashMap<>();
-    private final Map<String, String> serviceOf = new HashMap<>();
+    private final Fairways fairways;
     private final long life;
     private final Tally tally;
     private final Locker locker;
     private final Stores stores;
+    private final Intake intake;
     /** The claims whose runs are not settled yet. */
     private final Set<String> atWork = new HashSet<>();
     private final Set<Call> parked = new LinkedHashSet<>();
     private final long keysTrusted;
-    private Berths berths = Berths.alone("-");
 
     private Configuration configuration;
     private boolean leaving;
@@ -105,11 +98,11 @@
         this.tally = tally;
         this.locker = new Locker(settings.keyWindowMicros() + 10_000_000, Runtime.getRuntime().maxMemory() / 4);
         this.random = new Random(ThreadLocalRandom.current().nextLong());
+        this.fairways = new Fairways(quay, settings, random, this::wake);
         this.node = nodeFor.apply(this);
         this.stores = node.stores();
+        this.intake = new Intake(quay, node, random, life, tally);
         this.keysTrusted = settings.revokeMicros() - Math.max(REVOKE_MARGIN, settings.revokeMicros() / 20);
-        quay.after(SWEEP, this::sweep);
-        quay.after(Fairway.SAMPLE, this::sample);
     }
 
     public HarbourNode node() {
@@ -131,7 +124,7 @@
 
     /** Requests in hand. */
     public int open() {
-        return inHand.size();
+        return inHand.size() + intake.open();
     }
 
     /** Near the end of a leaving node: what comes now could not be finished and is sent elsewhere at once. */
@@ -145,6 +138,7 @@
         List<Call> calls = new ArrayList<>(parked);
         parked.clear();
         calls.forEach(this::sendElsewhere);
+        intake.endAll();
         for (Passage p : new ArrayList<>(inHand)) {
             if (p.open.isEmpty()) {
                 refuse(p, "the node is leaving");
@@ -177,8 +171,12 @@
 
     @Override
     public void fleet(Map<String, Integer> nodesInZone, int rank) {
-        berths = new Berths(settings.zone(), Map.copyOf(nodesInZone), rank);
-        fairways.values().forEach(f -> f.berths(berths));
+        fairways.fleet(nodesInZone, rank);
+    }
+
+    @Override
+    public void assigned(Flag entry) {
+        intake.assigned(entry);
     }
 
     @Override
@@ -189,63 +187,7 @@
 
     @Override
     public void worker(Vessel v) {
-        String service = v.service() == null || v.service().isEmpty() ? serviceOf.get(v.id()) : v.service();
-        if (service == null) {
-            return;
-        }
-        Fairway f = fairway(service);
-        Hull h = f.hulls.get(v.id());
-        if (v.state().compareTo(VesselState.LOST) >= 0) {
-            if (h != null) {
-                h.vessel = v;
-                h.pool.close();
-                f.hulls.remove(v.id());
-                serviceOf.remove(v.id());
-                f.changed();
-            }
-            return;
-        }
-        if (h == null) {
-            try {
-                h = new Hull(v, new TenderPool(quay, Links.address(v.address()), ANSWER_BOUND, ATTEMPT_ID),
-                        f.pace);
-            } catch (RuntimeException e) {
-                LOG.warn("event=bad_worker_address instance={} address={}", v.id(), v.address());
-                return;
-            }
-            f.hulls.put(v.id(), h);
-            serviceOf.put(v.id(), service);
-        } else {
-            h.vessel = v;
-        }
-        f.changed();
-        if (v.state() == VesselState.IN_SERVICE) {
-            wake(f);
-        }
-    }
-
-    private Fairway fairway(String service) {
-        return fairways.computeIfAbsent(service, s -> {
-            Fairway f = new Fairway(s, random, settings);
-            f.berths(berths);
-            return f;
-        });
-    }
-
-    private void sweep() {
-        fairways.values().forEach(f -> f.hulls.values().forEach(h -> h.pool.sweep()));
-        quay.after(SWEEP, this::sweep);
-    }
-
-    private void sample() {
-        long now = Quay.now();
-        for (Fairway f : fairways.values()) {
-            String line = f.observe(now);
-            if (line != null) {
-                LOG.info(line);
-            }
-        }
-        quay.after(Fairway.SAMPLE, this::sample);
+        fairways.worker(v);
     }
 
     // ----------------------------------------------------------------- calls
@@ -263,6 +205,10 @@
             return;
         }
         tally.requests.increment();
+        if (Intake.asks(r.path())) {
+            question(call);
+            return;
+        }
         String host = r.first("Host");
         Route route = host == null ? null : configuration.route(host, r.path());
         if (route == null) {
@@ -293,6 +239,10 @@
             call.answer(Replies.problem(400, ATTEMPT_ID + ": missing"));
             return;
         }
+        if (route.type() == RouteType.ASYNCHRONOUS) {
+            intake.take(call, route, shipper, configuration);
+            return;
+        }
         long left;
         try {
             left = Math.min(route.guardMicros(), timeLeft(r, route.guardMicros()));
@@ -302,7 +252,7 @@
         }
         long aim = route.aimMicros() > 0 ? route.aimMicros() : DEFAULT_AIM;
         long refuse = Math.min(aim / 4 - 10_000, left / 2);
-        Fairway f = fairway(route.serviceFor((long) (random.nextDouble() * route.totalWeight())));
+        Fairway f = fairways.of(route.serviceFor((long) (random.nextDouble() * route.totalWeight())));
         Passage p = new Passage(call, route, shipper, f, call.receivedAt() + left,
                 call.receivedAt() + Math.max(20_000, refuse));
         p.tenanted = configuration.closed();
@@ -327,6 +277,25 @@
         }
     }
 
+    /** The state or the bytes of a message are asked for, by its own tenant. */
+    private void question(Call call) {
+        Shipper shipper = null;
+        if (configuration.closed()) {
+            if (!keysFresh()) {
+                stale(call);
+                return;
+            }
+            shipper = shipperOf(call.request());
+            if (shipper == null) {
+                tally.unauthorised.increment();
+                call.answer(Replies.problem(401, AUTHORIZATION + ": no tenant holds such a key")
+                        .header("WWW-Authenticate", "Bearer"));
+                return;
+            }
+        }
+        intake.question(call, shipper);
+    }
+
     /** The tenant that holds the one well-formed key of the request, or null. */
     private Shipper shipperOf(Missive r) {
         Header[] given = r.headers().getHeaders(AUTHORIZATION);
@@ -419,7 +388,7 @@
     }
 
     /** How long the client says that it will wait, in microseconds. */
-    private static long timeLeft(Missive r, long otherwise) {
+    static long timeLeft(Missive r, long otherwise) {
         String told = r.first(TIME_LEFT);
         return told == null ? otherwise : (long) (1000 * Double.parseDouble(told.trim()));
     }
@@ -688,7 +657,7 @@
         return m;
     }
 
-    private static void copyHeaders(Missive from, Missive to, boolean request) {
+    static void copyHeaders(Missive from, Missive to, boolean request) {
         Set<String> named = new HashSet<>();
         for (Header h : from.headers().getHeaders("Connection")) {
             for (String n : h.getValue().split(",")) {
@@ -874,7 +843,7 @@
             waitCheckDue = false;
             long now = Quay.now();
             boolean more = false;
-            for (Fairway f : fairways.values()) {
+            for (Fairway f : fairways.each()) {
                 List<Passage> late = f.takeExpired(now);
                 late.forEach(p -> refuse(p, "no worker had room in time"));
                 wake(f);
--- a/src/main/java/org/otterpond/chart/ConfigurationReader.java
+++ b/src/main/java/org/otterpond/chart/ConfigurationReader.java
@@ -28,7 +28,9 @@
         for (int i = 0; i < list.size(); i++) {
             Fields s = Fields.of(list.get(i), "service_table[" + i + "]");
             Service service = new Service(s.text("name"), s.text("health_path", "/health"),
-                    (int) s.whole("max_connections", 1, Integer.MAX_VALUE, 100), s.truth("dedup_capable", false));
+                    (int) s.whole("max_connections", 1, Integer.MAX_VALUE, 100), s.truth("dedup_capable", false),
+                    s.real("rate_per_s", 0, 0), endpoint(s), s.truth("partitioned", false),
+                    (long) (1_000_000 * s.real("warmup_period_s", 0, 0)));
             if (services.put(service.name(), service) != null) {
                 throw new ChartException(s.at("name") + ": given twice");
             }
@@ -124,7 +126,26 @@
                 1000 * r.whole("guard_timer_ms", 1, MAX_MILLIS),
                 1000 * r.whole("target_latency_ms", 0, MAX_MILLIS, 0),
                 (int) r.whole("priority", 0, Integer.MAX_VALUE, 0), List.copyOf(targets),
-                (int) r.whole("max_attempts", 1, 1000, 1), r.truth("public_access", false));
+                (int) r.whole("max_attempts", 1, 1000, 1), r.truth("public_access", false),
+                r.truth("ordered_delivery", false), (long) (1_000_000 * r.real("retention_s", 0, 86_400)));
+    }
+
+    /** The address of a service that is one endpoint, or null. */
+    private static String endpoint(Fields s) throws ChartException {
+        if (!s.has("fixed_endpoint")) {
+            return null;
+        }
+        String at = s.text("fixed_endpoint");
+        int colon = at.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(at.substring(colon + 1));
+            if (colon > 0 && port > 0 && port < 65_536) {
+                return at;
+            }
+        } catch (NumberFormatException e) {
+            // Said below.
+        }
+        throw new ChartException(s.at("fixed_endpoint") + ": address:port is wanted");
     }
 
     /** The whole configuration that a change makes of the current one. */
--- a/src/main/java/org/otterpond/chart/Route.java
+++ b/src/main/java/org/otterpond/chart/Route.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 
-/** One route. Times are in microseconds; aim 0 means that none was given. */
+/**
+ * One route. Times are in microseconds; aim 0 means that none was given. The last two are of messages: whether they go in
+ * the order of their keys, and how long one is kept that cannot be delivered.
+ */
 public record Route(String name, String host, String prefix, RouteType type, long guardMicros, long aimMicros,
-        int priority, List<Target> targets, int maxAttempts, boolean open) {
+        int priority, List<Target> targets, int maxAttempts, boolean open, boolean ordered, long keepMicros) {
 
     /** The service for a draw in [0, total weight). */
     public String serviceFor(long draw) {
--- a/src/main/java/org/otterpond/chart/RouteType.java
+++ b/src/main/java/org/otterpond/chart/RouteType.java
@@ -2,14 +2,16 @@
 
 /** What may be repeated on a route. */
 public enum RouteType {
-    IDEMPOTENT, NON_IDEMPOTENT, KEYED;
+    IDEMPOTENT, NON_IDEMPOTENT, KEYED, ASYNCHRONOUS;
 
     static RouteType of(String word, String at) throws ChartException {
         switch (word) {
             case "idempotent": return IDEMPOTENT;
             case "non_idempotent": return NON_IDEMPOTENT;
             case "keyed": return KEYED;
-            default: throw new ChartException(at + ": idempotent, non_idempotent or keyed is wanted");
+            case "asynchronous": return ASYNCHRONOUS;
+            default: throw new ChartException(at
+                    + ": idempotent, non_idempotent, keyed or asynchronous is wanted");
         }
     }
 }
--- a/src/main/java/org/otterpond/chart/Settings.java
+++ b/src/main/java/org/otterpond/chart/Settings.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** What one process is told by its settings file, checked. */
 public record Settings(String nodeName, String ip, String zone, String frontPoint, String readinessPoint,
@@ -15,7 +16,10 @@
         int memoryMb, int fileDescriptors, long heartbeatMicros, long contactMicros, long drainMicros,
         long graceMicros, double retryRatio, double retrySlack, long retryWindowMicros, long keyWindowMicros,
         String logLevel, boolean ejectSlow, int faults, boolean revocationGlobal, long revokeMicros,
-        long quotaWindowMicros, double quotaExcess, double quotaSlack) {
+        long quotaWindowMicros, double quotaExcess, double quotaSlack, String deployment, boolean storage,
+        long statusMicros, long ceilingWindowMicros, double ceilingExcess, int diskMb, long holdMicros,
+        long thawMicros) {
+    private static final Set<String> DEPLOYMENTS = Set.of("gateway", "queue");
 
     public static Settings load(Path file) throws ChartException {
         String text;
@@ -66,7 +70,31 @@
                 f.truth("eject_slow_workers", true), (int) t.whole("machines", 0, 100, 1),
                 b.truth("revocation_global", false), 1000 * b.whole("revoke_timer_ms", 1, 3_600_000, 5000),
                 (long) (1_000_000 * b.real("quota_window_s", 0.1, 5)), b.real("quota_excess", 0, 0.1),
-                b.real("quota_slack", 0, 0));
+                b.real("quota_slack", 0, 0), deployment(f), serves(f, "storage"),
+                (long) (1_000_000 * b.real("status_s", 0, 60)),
+                (long) (1_000_000 * b.real("ceiling_window_s", 0.1, 5)), b.real("ceiling_excess", 1, 1.1),
+                (int) l.whole("disk_mb", 0, 1 << 24, 256), 1000 * b.whole("max_hold_ms", 100, 3_600_000, 10_000),
+                1000 * b.whole("thaw_slack_ms", 0, 3_600_000, 300));
+    }
+
+    private static String deployment(Fields f) throws ChartException {
+        String d = f.text("deployment", "gateway");
+        if (!DEPLOYMENTS.contains(d)) {
+            throw new ChartException(f.at("deployment") + ": " + d + " is not known; gateway or queue is wanted");
+        }
+        return d;
+    }
+
+    private static boolean serves(Fields f, String what) throws ChartException {
+        if (!f.has("serves")) {
+            return false;
+        }
+        for (JsonElement e : f.array("serves")) {
+            if (e.isJsonPrimitive() && e.getAsString().equals(what)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private static String point(Fields points, String name) throws ChartException {
--- a/src/main/java/org/otterpond/harbour/Chandlery.java
+++ b/src/main/java/org/otterpond/harbour/Chandlery.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.otterpond.chart.Configuration;
+import org.otterpond.chart.Service;
 import org.otterpond.chart.Shipper;
 import org.otterpond.signal.Flag;
 
@@ -17,7 +18,7 @@
  * none later than the lending time counted from when it asked, here it is counted from when it was lent. Reports are
  * running totals, so a lost or repeated one does no harm, and a grant whose answer was lost only counts for too long.
  */
-final class Chandlery {
+public final class Chandlery {
     private static final long LEDGER_IDLE = 600_000_000;
     private static final double NEVER = 3600;
 
@@ -50,6 +51,7 @@
         double rate;
         double burst;
         boolean configured;
+        boolean ceiling;
         double tokens;
         long at;
         long out;
@@ -74,15 +76,22 @@
     /** Takes the limits in force. A tenant that is new, or comes again, begins with an empty bucket. */
     void configured(Configuration c, long now) {
         buckets.values().forEach(b -> b.configured = false);
+        for (Service s : c.services().values()) {
+            if (s.ratePerSecond() > 0) {
+                Bucket b = bucket(ceilingOf(s.name()), now);
+                refill(b, now);
+                b.ceiling = true;
+                b.rate = s.ratePerSecond();
+                b.burst = terms.ceilingPart(b.rate);
+                b.tokens = Math.min(b.tokens, b.burst);
+                b.configured = true;
+            }
+        }
         for (Shipper s : c.shippers()) {
             if (!s.limited()) {
                 continue;
             }
-            Bucket b = buckets.computeIfAbsent(s.name(), n -> {
-                Bucket fresh = new Bucket();
-                fresh.at = now;
-                return fresh;
-            });
+            Bucket b = bucket(s.name(), now);
             refill(b, now);
             b.rate = s.ratePerSecond();
             b.burst = s.burst();
@@ -98,6 +107,23 @@
         });
     }
 
+    private Bucket bucket(String name, long now) {
+        return buckets.computeIfAbsent(name, n -> {
+            Bucket fresh = new Bucket();
+            fresh.at = now;
+            return fresh;
+        });
+    }
+
+    /** The name under which tokens of a service's ceiling are lent; no tenant can have it. */
+    public static String ceilingOf(String service) {
+        return "ceiling " + service;
+    }
+
+    private double mostOut(Bucket b) {
+        return b.ceiling ? terms.ceilingPart(b.rate) : terms.mostOut(b.rate, b.burst);
+    }
+
     private static void refill(Bucket b, long now) {
         // A limit below one token would never let any through: the bucket holds one at least.
         b.tokens = Math.min(Math.max(1, b.burst), b.tokens + b.rate * (now - b.at) / 1e6);
@@ -126,10 +152,10 @@
         });
         l.at = now;
         settle(b, l, used, returned);
-        int room = (int) Math.max(0, terms.mostOut(b.rate, b.burst) - b.out);
+        int room = (int) Math.max(0, mostOut(b) - b.out);
         int count = (int) Math.min(need, Math.min(b.tokens, room));
         if (count == need && spare > 0) {
-            int half = room - terms.mostOut(b.rate, b.burst) / 2;
+            int half = room - (int) mostOut(b) / 2;
             count += (int) Math.max(0, Math.min(spare, Math.min(b.tokens / 2, half) - count));
         }
         if (count > 0) {
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -26,6 +26,8 @@
     private static final long OUT_OF_TOUCH = 1_700_000;
     private static final long TOMBSTONE = 30_000_000;
     private static final long BEAT_BATCH = 250_000;
+    /** An ask that is sent once: what it asks for must not be done by a copy that comes late. */
+    private static final long ONCE = Long.MAX_VALUE / 2;
     private static final long SWEEP = 500_000;
     public static final long TICK = 100_000;
 
@@ -46,6 +48,7 @@
     private JsonObject configuration;
     private int configurationSize;
     private long revision;
+    private long assignmentNumber;
     private final Map<String, Vessel> roster = new LinkedHashMap<>();
     private final Map<String, Long> endedAt = new HashMap<>();
     private long tableVersion;
@@ -91,7 +94,7 @@
             // The margin covers the longest time between a claim and the sending of what it allows.
             Hold hold = new Hold(terms.keyWindowMicros() + 10_000_000);
             this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold, terms.faults());
-            this.helm = new Helm(deck, watch, berth, terms.heartbeatMicros(), terms.quota());
+            this.helm = new Helm(deck, watch, berth, terms.heartbeatMicros(), terms.quota(), terms.faults());
         } else {
             this.watch = null;
             this.helm = null;
@@ -205,7 +208,7 @@
                 poll();
             }
         });
-        asks.values().forEach(this::sendAsk);
+        askPrimaryAgain();
         // Passed on at once: who waits for an answer of the primary before would find out by its silence only.
         tell(neighbours, r);
     }
@@ -220,7 +223,7 @@
         helm.began(continued);
         learnt(record);
         tell(contacts, record);
-        asks.values().forEach(this::sendAsk);
+        askPrimaryAgain();
     }
 
     @Override
@@ -236,7 +239,8 @@
         polled = known.primary().address();
         Flag f = new Flag("poll").with("addr", me.address()).with("name", me.name()).with("zone", me.zone())
                 .with("disk", me.diskId()).with("life", me.life()).with("epoch", tableEpoch)
-                .with("table", tableVersion).with("cfg", revision).with("pn", ++pollNumber);
+                .with("table", tableVersion).with("cfg", revision).with("pn", ++pollNumber)
+                .with("as", assignmentNumber).with("store", me.storeId());
         if (toldEpoch != known.epoch()) {
             long sum = 0;
             for (Vessel v : roster.values()) {
@@ -273,6 +277,7 @@
             freshAt = Math.max(freshAt, polledAt - f.number("back"));
         }
         takeTable(f);
+        takeAssignments(f);
         tableVersion = f.number("ver");
         tableEpoch = f.number("epoch");
         if (!polling) {
@@ -301,6 +306,19 @@
         shore.fleet(counts, (int) fleet.number("rank"));
     }
 
+    private void takeAssignments(Flag f) {
+        if (!f.has("asno") || f.number("asno") <= assignmentNumber) {
+            return;
+        }
+        try {
+            List<Flag> news = f.has("aswhole") ? Bale.unpack(f.bytes("aswhole")).flags("entries") : f.flags("as");
+            assignmentNumber = f.number("asno");
+            news.forEach(shore::assigned);
+        } catch (SignalException e) {
+            deck.event("event=assignments_unreadable cause=" + e.getMessage());
+        }
+    }
+
     private void takeTable(Flag f) {
         long now = deck.now();
         f.flags("table").forEach(v -> takeVessel(Vessel.of(v, now)));
@@ -462,6 +480,16 @@
                 r -> answer.accept(r == null ? null : r.flag("answer")));
     }
 
+    /** Asks one node, once; null means that nothing says whether it took what it was asked. */
+    public void askNode(String node, Flag f, long timeout, Consumer<Flag> answer) {
+        ask(node, f, timeout, ONCE, answer);
+    }
+
+    /** Sends to one node what wants no reply. */
+    public void send(String node, Flag f) {
+        deck.send(node, f);
+    }
+
     /** This node's tokens of the tenants' quotas. */
     public Stores stores() {
         return stores;
@@ -498,6 +526,11 @@
         }
     }
 
+    /** What was asked of the primary is asked of the new one; what was asked of a certain node stays as it is. */
+    private void askPrimaryAgain() {
+        asks.values().stream().filter(a -> a.node == null).forEach(this::sendAsk);
+    }
+
     private void tickAsks(long now) {
         for (Ask a : asks.values()) {
             if (now - a.sentAt >= a.resend) {
@@ -514,6 +547,13 @@
         if (watch != null && !neverUp) {
             watch.peerClosed(address);
         }
+        shore.peerLost(address);
+        // Who holds such an ask can only wait in vain: whether it arrived is not known.
+        new ArrayList<>(asks.entrySet()).forEach(e -> {
+            if (address.equals(e.getValue().node) && e.getValue().resend >= ONCE && asks.remove(e.getKey()) != null) {
+                e.getValue().answer.accept(null);
+            }
+        });
         if (polling && address.equals(polled)) {
             polling = false;
             seeking = true;
@@ -565,9 +605,11 @@
                 }
             }
             default -> {
-                if (!founding.onMessage(from, f) && watch != null) {
-                    watch.onMessage(from, f);
+                if (founding.onMessage(from, f) || watch != null && watch.onMessage(from, f)) {
+                    return;
                 }
+                long rid = f.number("rid");
+                shore.message(from, f, r -> deck.send(from, r.with("rid", rid)));
             }
         }
     }
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -43,11 +43,18 @@
     private final Map<String, List<Consumer<Flag>>> claimsInWriting = new HashMap<>();
     private final List<DrainWait> drains = new ArrayList<>();
 
+    /** The assignments as committed, which is what may be told; the hold's own are a moment ahead. */
+    private Assignments committed = new Assignments();
+    private byte[] packedAssignments;
+    private long packedAssignmentNumber = -1;
+    private final Placement placement;
+
     private PendingWrite writing;
     private Flag lastChange;
     private boolean newsDue;
     private long nodesVersion;
     private FleetPlan plan;
+    private FleetPlan storePlan;
     private long membersTriedAt;
     private long beganAt;
     /** Names this node's unbroken time as primary; running totals of lent tokens belong to one term. */
@@ -84,12 +91,13 @@
         final List<Consumer<Flag>> replies = new ArrayList<>();
     }
 
-    Helm(Deck deck, Watch watch, Berth self, long heartbeatMicros, QuotaTerms terms) {
+    Helm(Deck deck, Watch watch, Berth self, long heartbeatMicros, QuotaTerms terms, int faults) {
         this.deck = deck;
         this.watch = watch;
         this.self = self;
         this.register = new Register(heartbeatMicros);
         this.chandlery = new Chandlery(terms);
+        this.placement = new Placement(deck, faults, this::assign);
     }
 
     void began(boolean continued) {
@@ -98,6 +106,9 @@
             term = watch.record().epoch();
             chandlery.reset();
         }
+        committed = watch.hold().assignments().copy();
+        packedAssignmentNumber = -1;
+        placement.began();
         stock();
         register.reset(deck.now());
         watch.hold().workers().forEach(w -> register.take(Vessel.of(w, deck.now()), deck.now()));
@@ -194,7 +205,8 @@
         // Who else is there is news for which nobody need be woken: it goes with the next answer.
         boolean nodes = l.nodesVersion != nodesVersion;
         boolean fresh = l.poll.number("epoch") != epoch;
-        if (!config && !table && !fresh && l.nodesVersion >= 0 && !now) {
+        boolean assigned = committed.number() > l.poll.number("as");
+        if (!config && !table && !assigned && !fresh && l.nodesVersion >= 0 && !now) {
             return;
         }
         long back = Math.max(0, l.heldSince - watch.followedSince());
@@ -205,9 +217,11 @@
                 .with("back", back);
         if (fresh || nodes) {
             if (plan == null || plan.version() != nodesVersion) {
-                plan = plan();
+                plan = plan(false);
+                storePlan = plan(true);
             }
-            news.with("record", watch.record().toFlag()).with("fleet", plan.toFlag(l.poll.text("zone"), to));
+            FleetPlan own = l.poll.has("store") ? storePlan : plan;
+            news.with("record", watch.record().toFlag()).with("fleet", own.toFlag(l.poll.text("zone"), to));
             l.nodesVersion = nodesVersion;
         }
         if (config) {
@@ -230,13 +244,53 @@
                 news.withFlags("table", vessels);
             }
         }
+        if (assigned) {
+            news.with("asno", committed.number());
+            if (l.poll.number("as") == 0) {
+                news.with("aswhole", packedAssignments());
+            } else {
+                news.withFlags("as", committed.newerThan(l.poll.number("as")));
+            }
+        }
         l.waiting = false;
         deck.send(to, news);
     }
 
-    private FleetPlan plan() {
+    private byte[] packedAssignments() {
+        if (packedAssignmentNumber != committed.number()) {
+            packedAssignments = Bale.pack(committed.snapshot());
+            packedAssignmentNumber = committed.number();
+        }
+        return packedAssignments;
+    }
+
+    /** Writes one assignment; it is told once it is committed. False if this node does not lead. */
+    private boolean assign(Flag entry, Runnable done) {
+        return watch.propose(entry, () -> {
+            committed.apply(entry);
+            newsDue();
+            done.run();
+        });
+    }
+
+    /** The machines that store messages and hold a lease. */
+    private List<Placement.Store> stores() {
+        List<Placement.Store> out = new ArrayList<>();
+        leases.forEach((a, l) -> {
+            if (l.poll.has("store")) {
+                out.add(new Placement.Store(l.poll.text("store"), a, l.poll.text("name"), l.poll.text("zone"), l.at));
+            }
+        });
+        return out;
+    }
+
+    private FleetPlan plan(boolean stores) {
         Map<String, Flag> polls = new HashMap<>();
-        leases.forEach((a, l) -> polls.put(a, l.poll));
+        leases.forEach((a, l) -> {
+            if (l.poll.has("store") == stores) {
+                polls.put(a, l.poll);
+            }
+        });
         return FleetPlan.of(nodesVersion, polls);
     }
 
@@ -292,6 +346,7 @@
         }
         checkDrains();
         membership(now);
+        placement.tick(now, stores(), watch.hold().assignments());
         if (now - chandleryTicked > 1_000_000) {
             chandleryTicked = now;
             chandlery.tick(now);
@@ -386,6 +441,14 @@
                 ask.flags("beats").forEach(f -> take(Vessel.of(f, deck.now())));
                 reply.accept(new Flag("reply"));
             }
+            case "reconfigure" -> placement.reconfigure(ask, watch.hold().assignments(), committed, reply);
+            case "candidate-failed" -> placement.candidateFailed(ask, watch.hold().assignments(), reply);
+            case "retire" -> placement.retire(ask.text("node"), stores(), watch.hold().assignments(), reply);
+            case "retired" -> watch.confirm(ok -> {
+                if (ok) {
+                    reply.accept(Placement.retired(ask.text("node"), committed));
+                }
+            });
             case "write" -> write(ask, reply);
             case "read" -> watch.confirm(ok -> {
                 if (ok) {
--- a/src/main/java/org/otterpond/harbour/Hold.java
+++ b/src/main/java/org/otterpond/harbour/Hold.java
@@ -25,6 +25,7 @@
     private final List<Flag> history = new ArrayList<>();
     private final Map<String, Known> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Claim> claims = new LinkedHashMap<>();
+    private final Assignments assignments = new Assignments();
     /** One text for each node, however many claims it has. */
     private final Map<String, String> holders = new HashMap<>();
 
@@ -47,6 +48,10 @@
         return out;
     }
 
+    Assignments assignments() {
+        return assignments;
+    }
+
     int claimCount() {
         return claims.size();
     }
@@ -86,6 +91,7 @@
                 }
             }
             case "worker" -> workers.put(entry.text("id"), new Known(entry, now));
+            case Assignments.KIND -> assignments.apply(entry);
             default -> throw new IllegalArgumentException("no such entry: " + entry.kind());
         }
     }
@@ -118,7 +124,8 @@
             keys.add(c.holder());
         });
         return new Flag("state").with("rev", revision).with("text", text).withFlags("history", history)
-                .withFlags("workers", workers()).with("claims", keys);
+                .withFlags("workers", workers()).with("claims", keys)
+                .with("assignments", assignments.number() == 0 ? null : assignments.snapshot());
     }
 
     /** Replaces everything; windows of the claims begin anew. */
@@ -129,6 +136,7 @@
         history.addAll(state.flags("history"));
         workers.clear();
         state.flags("workers").forEach(w -> workers.put(w.text("id"), new Known(w, now)));
+        assignments.load(state.flag("assignments"));
         claims.clear();
         List<Object> keys = state.list("claims");
         for (int i = 0; i + 2 < keys.size(); i += 3) {
--- a/src/main/java/org/otterpond/harbour/Shore.java
+++ b/src/main/java/org/otterpond/harbour/Shore.java
@@ -13,6 +13,21 @@
     /** How many nodes hold a lease in each zone, and this node's place among those of its own. */
     void fleet(Map<String, Integer> nodesInZone, int rank);
 
+    /** An assignment that the core has written, newer than the one told before under its key. */
+    default void assigned(Flag entry) {
+        // A node that neither routes by them nor holds any has no use for them.
+    }
+
+    /** A message that is none of the control side's; whoever sent it waits for the reply if it takes one. */
+    default void message(String from, Flag message, java.util.function.Consumer<Flag> reply) {
+        // Nothing here takes any.
+    }
+
+    /** The connection to a node is gone. */
+    default void peerLost(String address) {
+        // Only those that hold copies together look after each other.
+    }
+
     /**
      * How the run of that claim went, as this node knows: "answer" with the answer kept, "working", "unknown" if it
      * may have run without a known outcome; null if nothing is known of it.
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -135,7 +135,7 @@
                 known = record;
             }
             case "state" -> hold.load(f, deck.now());
-            case "claim", "free", "config", "worker" -> hold.apply(f, deck.now());
+            case "claim", "free", "config", "worker", Assignments.KIND -> hold.apply(f, deck.now());
             default -> deck.event("event=journal_record_skipped kind=" + f.kind());
         }
         committedRevision = hold.revision();
--- a/src/main/java/org/otterpond/keel/HarbourOffice.java
+++ b/src/main/java/org/otterpond/keel/HarbourOffice.java
@@ -25,6 +25,8 @@
 final class HarbourOffice implements CallHandler {
     private static final String BEAT = "/-/Instances.Heartbeat/";
     private static final String LEAVE = "/-/Instances.Deregister/";
+    private static final String RETIRE = "/-/Retire.Begin/";
+    private static final String RETIRED = "/-/Retire.Read/";
     private static final long ASK = 850_000;
     private static final long BIG_ASK = 2_500_000;
     private static final int BIG_TEXT = 64 * 1024;
@@ -64,6 +66,10 @@
                 write(call, "modify");
             } else if (asked.equals("GET /-/Configuration.Read")) {
                 read(call);
+            } else if (r.method().equals("POST") && path.startsWith(RETIRE)) {
+                retire(call, path.substring(RETIRE.length()));
+            } else if (r.method().equals("GET") && path.startsWith(RETIRED)) {
+                retired(call, path.substring(RETIRED.length()));
             } else if (asked.equals("GET /-/status")) {
                 status(call);
             } else if (asked.equals("GET /-/metrics")) {
@@ -170,6 +176,31 @@
         });
     }
 
+    /** A storage machine is to be emptied; how long that may take is the operator's to watch. */
+    private void retire(Call call, String name) throws ChartException {
+        if (call.request().body().length > 0) {
+            Fields.of(Fields.parse(bodyOf(call)), "").real("deadline_s", 0, 0);
+        }
+        ask(call, new Flag("ask").with("op", "retire").with("node", name), ASK, RESEND, r -> {
+            switch ((int) r.number("status")) {
+                case 200 -> call.answer(Replies.json(200, "{}"));
+                case 404 -> call.answer(Replies.problem(404, "no such storage machine"));
+                default -> call.answer(Replies.problem(409, "too few storage machines would be left"));
+            }
+        });
+    }
+
+    private void retired(Call call, String name) {
+        ask(call, new Flag("ask").with("op", "retired").with("node", name), ASK, RESEND, r -> {
+            if (r.number("status") != 200) {
+                call.answer(Replies.problem(404, "no such retirement"));
+            } else {
+                call.answer(Replies.json(200, r.truth("done") ? "{\"state\":\"completed\"}"
+                        : "{\"state\":\"in_progress\"}"));
+            }
+        });
+    }
+
     private static String unpacked(Flag reply) {
         try {
             return Bale.unpackText(reply.bytes("text"));
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
+import org.otterpond.cargo.Dispatcher;
 import org.otterpond.cargo.Pilotage;
 import org.otterpond.cargo.Tally;
 import org.otterpond.chart.ChartException;
@@ -36,6 +37,7 @@
     private static final long LEAVE_LAST = 800_000;
     /** For the last answers to go out, and for claims that are in flight to be freed. */
     private static final long LEAVE_FLUSH = 200_000;
+    private static final long STORE_CHECK = 100_000;
     private static final long BODY_BOUND = 8L << 20;
 
     private final Path file;
@@ -43,6 +45,8 @@
     private final Settings settings;
     private Pilotage pilotage;
     private FrontDoor front;
+    private Dispatcher dispatcher;
+    private StoreHouse store;
     private long lastModified;
     private boolean leaving;
     private final Runnable end;
@@ -63,6 +67,10 @@
     public void run() throws IOException, LogbookException {
         long life = Math.abs(new SecureRandom().nextLong());
         ShipsDeck deck = new ShipsDeck(quay);
+        if (settings.storage()) {
+            runStore(deck, life);
+            return;
+        }
         Logbook logbook = null;
         List<Flag> journal = List.of();
         String diskId = null;
@@ -82,9 +90,7 @@
         pilotage = new Pilotage(quay, settings, shore -> new HarbourNode(deck,
                 new NodeIdentity(settings.internalAddress(), settings.nodeName(), settings.zone(), id, isBlank,
                         settings.initialStart(), settings.seedAddresses(), life),
-                shore, new HarbourTerms(settings.heartbeatMicros(), settings.keyWindowMicros(), settings.faults(),
-                        new QuotaTerms(settings.quotaWindowMicros(), settings.quotaExcess(), settings.quotaSlack(),
-                                WatchTimes.standard().lent()))), life, tally);
+                shore, terms()), life, tally);
         HarbourNode node = pilotage.node();
         Links links = new Links(quay, settings.internalAddress(), node::onMessage, node::peerLost);
         deck.fit(links, logbook == null ? null : new Purser(quay, logbook, id, node::journalBase));
@@ -100,6 +106,34 @@
         quay.run();
     }
 
+    /** A machine that stores messages and delivers them; it takes no calls from outside. */
+    private void runStore(ShipsDeck deck, long life) throws IOException, LogbookException {
+        if (settings.dataDir() == null) {
+            throw new LogbookException("data_dir: a role that serves storage needs a disk", null);
+        }
+        Tally tally = new Tally();
+        dispatcher = new Dispatcher(quay, settings, tally);
+        store = new StoreHouse(quay, deck, settings, dispatcher);
+        HarbourNode node = new HarbourNode(deck, new NodeIdentity(settings.internalAddress(), settings.nodeName(),
+                settings.zone(), null, false, settings.initialStart(), settings.seedAddresses(), life, store.diskId),
+                dispatcher, terms());
+        dispatcher.fit(node, store.depot);
+        deck.fit(new Links(quay, settings.internalAddress(), node::onMessage, node::peerLost), null);
+        lastModified = file.toFile().lastModified();
+        quay.after(SETTINGS_CHECK, this::watchSettings);
+        quay.execute(node::start);
+        quay.execute(store.depot::start);
+        LOG.info("event=started node={} zone={} store={} first={}", settings.nodeName(), settings.zone(), store.diskId,
+                settings.initialStart());
+        quay.run();
+    }
+
+    private HarbourTerms terms() {
+        return new HarbourTerms(settings.heartbeatMicros(), settings.keyWindowMicros(), settings.faults(),
+                new QuotaTerms(settings.quotaWindowMicros(), settings.quotaExcess(), settings.quotaSlack(),
+                        WatchTimes.standard().lent(), settings.ceilingWindowMicros(), settings.ceilingExcess() - 1));
+    }
+
     private static void makeIdentity(Logbook logbook, String diskId) throws LogbookException {
         for (int i = 0; ; i++) {
             try {
@@ -181,6 +215,12 @@
             }
             leaving = true;
             LOG.info("event=leaving node={}", settings.nodeName());
+            if (store != null) {
+                store.depot.retire();
+                long most = Quay.now() + settings.graceMicros() - LEAVE_MARGIN - LEAVE_FLUSH;
+                quay.after(STORE_CHECK, () -> checkHandedOver(most));
+                return;
+            }
             pilotage.leave();
             pilotage.node().retire();
             long last = settings.graceMicros() - LEAVE_MARGIN - LEAVE_FLUSH;
@@ -190,6 +230,17 @@
         });
     }
 
+    private void checkHandedOver(long by) {
+        boolean quiet = store.depot.handedOver() && dispatcher.open() == 0;
+        if (!quiet && Quay.now() < by) {
+            store.depot.retire();
+            quay.after(STORE_CHECK, () -> checkHandedOver(by));
+            return;
+        }
+        LOG.info("event=left node={} quiet={}", settings.nodeName(), quiet);
+        quay.after(LEAVE_FLUSH, end);
+    }
+
     private void checkLeft(long by) {
         boolean late = Quay.now() >= by;
         boolean busy = pilotage.open() > 0 || (front != null && front.busy());
--- /dev/null
+++ b/src/main/java/org/otterpond/message/StoreTerms.java
@@ -0,0 +1,16 @@
+package org.otterpond.message;
+
+import org.otterpond.replica.GroupTimes;
+
+/**
+ * What the deployment demands of a machine that stores messages.
+ *
+ * @param statusMicros how long the state of a message is told after its end
+ * @param keyWindowMicros how long a repeat of an accepted operation gets the first one's name
+ * @param cacheBytes how much of the newest messages is kept in memory
+ */
+public record StoreTerms(long statusMicros, long keyWindowMicros, long cacheBytes, GroupTimes times) {
+    long endedKept() {
+        return Math.max(statusMicros, keyWindowMicros) + 10_000_000;
+    }
+}
