Key owners: one keeper grants ranges, nodes route by them, heat decides what moves

The core's primary is the only granter (keys.KeyKeeper): owner and fence are durable before a grant leaves, another owner comes only after a release or once the longest grant has run out.

--- a/src/main/java/org/otterpond/cargo/Fairway.java
+++ b/src/main/java/org/otterpond/cargo/Fairway.java
@@ -13,6 +13,9 @@
 import java.util.TreeMap;
 import org.otterpond.chart.Settings;
 import org.otterpond.harbour.VesselState;
+import org.otterpond.keys.KeyRange;
+import org.otterpond.keys.RangeState;
+import org.otterpond.keys.RangeTable;
 import org.otterpond.lookout.Lookout;
 
 /** One service on this node: its workers, the pick among them, those waiting, the purse and the detector. */
@@ -45,6 +48,9 @@
     private final Map<String, Double> zoneWeights = new TreeMap<>();
     private final Map<String, List<Hull>> nearByZone = new HashMap<>();
     private int fairPart = 1;
+    private RangeTable ranges;
+    boolean wakeDue;
+    private final long drainMost;
     /** How many requests of this node one worker may have at once, as each takes a connection. */
     private int connections = Integer.MAX_VALUE;
 
@@ -52,6 +58,7 @@
         this.name = name;
         this.random = random;
         this.eject = settings.ejectSlow();
+        this.drainMost = settings.drainMicros() / 2;
         this.purse = new RetryPurse(settings.retryWindowMicros());
     }
 
@@ -147,6 +154,38 @@
         return berths.zone();
     }
 
+    /** The ranges of a service that is divided by keys; null where it is not. */
+    void divided(RangeTable by) {
+        ranges = by;
+    }
+
+    boolean divided() {
+        return ranges != null;
+    }
+
+    /** The range of a key, or null. */
+    KeyRange range(int key) {
+        return ranges == null ? null : ranges.at(name, key);
+    }
+
+    /** The worker for a request with such a key: the owner, and nobody else. */
+    Hull pick(long now, Set<String> tried, int key) {
+        if (ranges == null) {
+            return pick(now, tried);
+        }
+        KeyRange r = ranges.at(name, key);
+        if (r == null || r.state() != RangeState.HELD) {
+            return null;
+        }
+        Hull h = hulls.get(r.owner());
+        if (h == null || h.shunUntil > now || h.inFlight >= bound(h)) {
+            return null;
+        }
+        // It keeps its keys until they are taken from it, but nothing may reach it later than its drain time.
+        boolean leaving = h.vessel.state() != VesselState.IN_SERVICE && now - h.drainingSince > drainMost;
+        return leaving ? null : h;
+    }
+
     /**
      * The worker for a request, null if none may take one now: the least loaded of the zone drawn, ties broken at
      * random; of all zones, where that one has none free of this node's requests but another has.
--- a/src/main/java/org/otterpond/cargo/Fairways.java
+++ b/src/main/java/org/otterpond/cargo/Fairways.java
@@ -84,6 +84,9 @@
         } else {
             h.vessel = v;
         }
+        if (v.state() == VesselState.DRAINING && h.drainingSince == 0) {
+            h.drainingSince = Quay.now();
+        }
         f.changed();
         if (v.state() == VesselState.IN_SERVICE) {
             room.accept(f);
--- a/src/main/java/org/otterpond/cargo/Hull.java
+++ b/src/main/java/org/otterpond/cargo/Hull.java
@@ -13,6 +13,8 @@
     final TenderPool pool;
     private final Pace pace;
     int inFlight;
+    /** Since when it says that it leaves; 0 while it does not. */
+    long drainingSince;
     private long quietSince;
     /** Requests in flight times the time they have waited, since the last answer. */
     private double unanswered;
--- a/src/main/java/org/otterpond/cargo/Passage.java
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -25,6 +25,8 @@
     boolean tenanted;
     int attempts;
     String key;
+    /** The key by which a divided service is split, or -1. */
+    int partitionKey = -1;
     String token;
     final List<Attempt> open = new ArrayList<>();
     Quay.Timer timer;
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -19,6 +19,11 @@
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.Shore;
 import org.otterpond.harbour.Stores;
+import org.otterpond.keys.KeeperHost;
+import org.otterpond.keys.KeyHeat;
+import org.otterpond.keys.KeyRange;
+import org.otterpond.keys.RangeState;
+import org.otterpond.keys.RangeTable;
 import org.otterpond.harbour.Vessel;
 import org.otterpond.quay.Call;
 import org.otterpond.quay.CallHandler;
@@ -40,6 +45,7 @@
     static final String SEAL = "X-Otterpond-Server-Seal";
     static final String EXPECTED = "X-Otterpond-Expected-Instance";
     static final String TENANT = "X-Otterpond-Tenant-Id";
+    static final String PARTITION_KEY = "X-Otterpond-Partition-Key";
     static final String AUTHORIZATION = "Authorization";
     static final String NOT_EXECUTED = "X-Otterpond-Not-Executed";
 
@@ -66,6 +72,7 @@
     /** A request earns this much of the ratio, as it can be spent in its own window or in the next. */
     private static final double EARNED = 0.45;
     private static final String BEARER = "Bearer ";
+    private static final long OWNER_AGAIN = 25_000;
     private static final long WORK_ASKED_AGAIN = 100_000;
 
     private final Quay quay;
@@ -78,6 +85,9 @@
     private final Locker locker;
     private final Stores stores;
     private final Intake intake;
+    private final RangeTable ranges = new RangeTable();
+    private final KeyHeat.Meter meter = new KeyHeat.Meter();
+    private final WorkerCalls workerCalls;
     /** The claims whose runs are not settled yet. */
     private final Set<String> atWork = new HashSet<>();
     private final Set<Call> parked = new LinkedHashSet<>();
@@ -101,6 +111,7 @@
         this.fairways = new Fairways(quay, settings, random, this::wake);
         this.node = nodeFor.apply(this);
         this.stores = node.stores();
+        this.workerCalls = new WorkerCalls(quay);
         this.intake = new Intake(quay, node, random, life, tally);
         this.keysTrusted = settings.revokeMicros() - Math.max(REVOKE_MARGIN, settings.revokeMicros() / 20);
     }
@@ -163,6 +174,7 @@
     @Override
     public void configured(Configuration c) {
         configuration = c;
+        c.services().values().forEach(s -> fairways.of(s.name()).divided(s.partitioned() ? ranges : null));
         List<Call> calls = new ArrayList<>(parked);
         parked.clear();
         // After the workers that came in the same news.
@@ -177,6 +189,31 @@
     @Override
     public void assigned(Flag entry) {
         intake.assigned(entry);
+        String service = ranges.take(entry);
+        if (service != null) {
+            wake(fairways.of(service));
+        }
+    }
+
+    @Override
+    public List<Flag> heat() {
+        List<Flag> out = new ArrayList<>();
+        meter.take().forEach((service, counts) -> {
+            List<Object> keys = new ArrayList<>();
+            counts.forEach((k, n) -> {
+                keys.add((long) k);
+                keys.add((long) n);
+            });
+            out.add(new Flag("heat").with("service", service).with("work", fairways.of(service).pace.usual())
+                    .with("keys", keys));
+        });
+        return out;
+    }
+
+    @Override
+    public void callWorker(String address, String instance, String path, String body, long timeout,
+            java.util.function.Consumer<KeeperHost.Answer> answer) {
+        workerCalls.call(address, instance, path, body, timeout, answer);
     }
 
     @Override
@@ -253,8 +290,23 @@
         long aim = route.aimMicros() > 0 ? route.aimMicros() : DEFAULT_AIM;
         long refuse = Math.min(aim / 4 - 10_000, left / 2);
         Fairway f = fairways.of(route.serviceFor((long) (random.nextDouble() * route.totalWeight())));
+        int partition = -1;
+        if (f.divided()) {
+            partition = partitionKey(r);
+            if (partition < 0) {
+                call.answer(Replies.problem(400, PARTITION_KEY + ": a whole number from 0 to 65535 is wanted"));
+                return;
+            }
+            meter.asked(f.name, partition);
+            KeyRange range = f.range(partition);
+            if (range != null && range.state() != RangeState.EXPIRING) {
+                // What moves has arrived in a moment: it is waited for within the aim.
+                refuse = Math.min(aim * 6 / 10, left / 2);
+            }
+        }
         Passage p = new Passage(call, route, shipper, f, call.receivedAt() + left,
                 call.receivedAt() + Math.max(20_000, refuse));
+        p.partitionKey = partition;
         p.tenanted = configuration.closed();
         if (p.keyed()) {
             p.key = r.first(KEY);
@@ -296,6 +348,20 @@
         intake.question(call, shipper);
     }
 
+    /** The key by which a divided service is split, or -1 if there is none that is good. */
+    private static int partitionKey(Missive r) {
+        Header[] given = r.headers().getHeaders(PARTITION_KEY);
+        if (given.length != 1 || given[0].getValue() == null) {
+            return -1;
+        }
+        try {
+            int key = Integer.parseInt(given[0].getValue().trim());
+            return key > KeyRange.LAST_KEY ? -1 : key;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
     /** The tenant that holds the one well-formed key of the request, or null. */
     private Shipper shipperOf(Missive r) {
         Header[] given = r.headers().getHeaders(AUTHORIZATION);
@@ -576,7 +642,7 @@
             refuse(p, "not sure of the keys in force");
             return;
         }
-        Hull h = p.fairway.pick(now, p.tried);
+        Hull h = p.fairway.pick(now, p.tried, p.partitionKey);
         if (h == null) {
             if (p.attempts > 0 || now >= p.refuseAt()) {
                 refuse(p, "no worker can take the request");
@@ -614,7 +680,7 @@
                 }
             }
         });
-        if (p.repeatable() && p.attempts < p.route.maxAttempts()) {
+        if (p.repeatable() && p.partitionKey < 0 && p.attempts < p.route.maxAttempts()) {
             p.hedge = quay.after(hedgeAfter(p.route), () -> hedge(p));
         }
     }
@@ -709,7 +775,9 @@
         if (notRun) {
             tally.turnedAway.increment();
             p.paid = p.counted() && p.open.isEmpty();
-            if (m.status() == 421) {
+            if (m.status() == 421 && p.fairway.divided()) {
+                LOG.debug("event=not_owner service={} key={} instance={}", p.fairway.name, p.partitionKey, h.id());
+            } else if (m.status() == 421) {
                 h.failed(Quay.now());
             } else {
                 h.shunUntil = Quay.now() + FULL_SHUN;
@@ -785,6 +853,10 @@
         long now = Quay.now();
         boolean allowed = p.attempts < Math.max(arrived ? p.route.maxAttempts() : p.route.maxAttempts() + 1, 1)
                 && p.deadline() - now > 4 * LEAST_LEFT;
+        if (allowed && p.fairway.divided()) {
+            toOwnerAgain(p, arrived, otherwise);
+            return;
+        }
         if (!allowed || p.fairway.pick(now, p.tried) == null || (arrived && !p.fairway.purse.spend(now))) {
             otherwise.run();
             return;
@@ -797,6 +869,30 @@
         }
     }
 
+    /** Only the owner of the key can serve it: it is tried once more a moment later, if word of another has come by then. */
+    private void toOwnerAgain(Passage p, boolean arrived, Runnable otherwise) {
+        quay.after(OWNER_AGAIN, () -> {
+            long now = Quay.now();
+            if (p.finished) {
+                return;
+            }
+            if (p.fairway.pick(now, Set.of(), p.partitionKey) == null && now + OWNER_AGAIN < p.refuseAt()) {
+                toOwnerAgain(p, arrived, otherwise);
+                return;
+            }
+            if (p.fairway.pick(now, Set.of(), p.partitionKey) == null || arrived && !p.fairway.purse.spend(now)) {
+                otherwise.run();
+                return;
+            }
+            tally.retries.increment();
+            if (p.counted() && !p.paid) {
+                pay(p, () -> dispatch(p), over -> otherwise.run());
+            } else {
+                dispatch(p);
+            }
+        });
+    }
+
     private void finishNotRun(Passage p, Missive answer) {
         if (p.mayHaveRun && !p.repeatable()) {
             if (p.keyed()) {
@@ -827,6 +923,10 @@
         if (f.waiting.isEmpty()) {
             return;
         }
+        if (f.divided()) {
+            wakeOwned(f);
+            return;
+        }
         quay.after(0, () -> {
             while (!f.waiting.isEmpty() && f.pick(Quay.now(), Set.of()) != null) {
                 dispatch(f.waiting.poll());
@@ -834,6 +934,24 @@
         });
     }
 
+    /** Of those that wait for the owners of their keys, sends the ones whose owner can take them now. */
+    private void wakeOwned(Fairway f) {
+        if (f.wakeDue) {
+            return;
+        }
+        f.wakeDue = true;
+        quay.after(0, () -> {
+            f.wakeDue = false;
+            List<Passage> waiting = new ArrayList<>(f.waiting);
+            waiting.sort(f.waiting.comparator());
+            for (Passage p : waiting) {
+                if (f.pick(Quay.now(), Set.of(), p.partitionKey) != null && f.waiting.remove(p)) {
+                    dispatch(p);
+                }
+            }
+        });
+    }
+
     private void checkWaiting() {
         if (waitCheckDue) {
             return;
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -94,7 +94,7 @@
             // The margin covers the longest time between a claim and the sending of what it allows.
             Hold hold = new Hold(terms.keyWindowMicros() + 10_000_000);
             this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold, terms.faults());
-            this.helm = new Helm(deck, watch, berth, terms.heartbeatMicros(), terms.quota(), terms.faults());
+            this.helm = new Helm(deck, watch, berth, shore, terms);
         } else {
             this.watch = null;
             this.helm = null;
@@ -248,6 +248,10 @@
             }
             f.with("sum", sum);
         }
+        List<Flag> heat = shore.heat();
+        if (!heat.isEmpty()) {
+            f.withFlags("heat", heat);
+        }
         if (!toTell.isEmpty()) {
             List<Flag> told = new ArrayList<>();
             toTell.values().forEach(v -> told.add(v.toFlag(deck.now())));
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -5,14 +5,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.otterpond.chart.ChartException;
 import org.otterpond.chart.Configuration;
 import org.otterpond.chart.ConfigurationReader;
 import org.otterpond.chart.Fields;
+import org.otterpond.keys.KeyKeeper;
+import org.otterpond.keys.KeyRange;
 import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.SignalException;
@@ -48,6 +52,7 @@
     private byte[] packedAssignments;
     private long packedAssignmentNumber = -1;
     private final Placement placement;
+    private final KeyKeeper keeper;
 
     private PendingWrite writing;
     private Flag lastChange;
@@ -91,13 +96,14 @@
         final List<Consumer<Flag>> replies = new ArrayList<>();
     }
 
-    Helm(Deck deck, Watch watch, Berth self, long heartbeatMicros, QuotaTerms terms, int faults) {
+    Helm(Deck deck, Watch watch, Berth self, Shore shore, HarbourTerms terms) {
         this.deck = deck;
         this.watch = watch;
         this.self = self;
-        this.register = new Register(heartbeatMicros);
-        this.chandlery = new Chandlery(terms);
-        this.placement = new Placement(deck, faults, this::assign);
+        this.register = new Register(terms.heartbeatMicros());
+        this.chandlery = new Chandlery(terms.quota());
+        this.placement = new Placement(deck, terms.faults(), this::assign);
+        this.keeper = new KeyKeeper(new KeeperDeck(deck, shore, watch, register, this::assign), terms.hold());
     }
 
     void began(boolean continued) {
@@ -112,6 +118,7 @@
         stock();
         register.reset(deck.now());
         watch.hold().workers().forEach(w -> register.take(Vessel.of(w, deck.now()), deck.now()));
+        keeper.began(committed.under(KeyRange.PREFIX), continued);
         // Their polls were of the epoch before, and are answered no more.
         Flag begun = new Flag("harbour").with("record", watch.record().toFlag());
         leases.keySet().forEach(a -> deck.send(a, begun));
@@ -170,6 +177,7 @@
         l.at = now;
         l.heldSince = now;
         l.waiting = true;
+        poll.flags("heat").forEach(keeper::reported);
         if (poll.has("tell")) {
             poll.flags("tell").forEach(f -> take(Vessel.of(f, now)));
         }
@@ -346,6 +354,7 @@
         }
         checkDrains();
         membership(now);
+        keeper.tick();
         placement.tick(now, stores(), watch.hold().assignments());
         if (now - chandleryTicked > 1_000_000) {
             chandleryTicked = now;
@@ -461,13 +470,24 @@
         }
     }
 
+    private void inForce(Configuration c) {
+        chandlery.configured(c, deck.now());
+        Set<String> divided = new HashSet<>();
+        c.services().values().forEach(s -> {
+            if (s.partitioned()) {
+                divided.add(s.name());
+            }
+        });
+        keeper.configured(divided);
+    }
+
     /** Reads the limits in force for the quotas, as a new primary finds them. */
     private void stock() {
         if (watch.committedText() == null) {
             return;
         }
         try {
-            chandlery.configured(ConfigurationReader.read(Fields.parse(watch.committedText())), deck.now());
+            inForce(ConfigurationReader.read(Fields.parse(watch.committedText())));
         } catch (ChartException e) {
             deck.event("event=configuration_unreadable revision=" + watch.committedRevision() + " cause="
                     + e.getMessage());
@@ -650,7 +670,7 @@
                     lastChange = kind.equals("modify")
                             ? new Flag("change").with("base", base).with("rev", revision)
                                     .with("change", Bale.pack(text)) : null;
-                    chandlery.configured(checked, deck.now());
+                    inForce(checked);
                     deck.event("event=configuration_taken revision=" + revision + " base=" + base);
                     w.replies.forEach(r -> r.accept(verdict(200, null)));
                     newsDue();
@@ -675,6 +695,7 @@
         return new Flag("reply").with("confirmed", confirmed).with("record", r.toFlag()).with("silent", silent)
                 .with("rev", watch.committedRevision()).with("claims", watch.hold().claimCount())
                 .withFlags("nodes", nodes).withFlags("workers", vessels)
-                .withFlags("quotas", chandlery.status(now));
+                .withFlags("quotas", chandlery.status(now)).withFlags("keys", keeper.status())
+                .with("partitions", Placement.status(committed));
     }
 }
--- a/src/main/java/org/otterpond/harbour/Register.java
+++ b/src/main/java/org/otterpond/harbour/Register.java
@@ -86,6 +86,17 @@
         }
     }
 
+    /** Whether another life has shown itself at the address of this one, which therefore is over. */
+    boolean succeeded(Vessel over) {
+        for (Entry e : entries.values()) {
+            if (e.vessel.address().equals(over.address()) && !e.vessel.id().equals(over.id())
+                    && e.vessel.state().compareTo(VesselState.LOST) < 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Marks silent workers as lost, unless so many of a service are silent that the silence must be ours. */
     List<Vessel> expire(long now) {
         List<Vessel> lost = new ArrayList<>();
--- a/src/main/java/org/otterpond/harbour/Shore.java
+++ b/src/main/java/org/otterpond/harbour/Shore.java
@@ -1,7 +1,10 @@
 package org.otterpond.harbour;
 
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.otterpond.chart.Configuration;
+import org.otterpond.keys.KeeperHost;
 import org.otterpond.signal.Flag;
 
 /** The data plane, as the control side sees it: it is handed news. */
@@ -19,10 +22,21 @@
     }
 
     /** A message that is none of the control side's; whoever sent it waits for the reply if it takes one. */
-    default void message(String from, Flag message, java.util.function.Consumer<Flag> reply) {
+    default void message(String from, Flag message, Consumer<Flag> reply) {
         // Nothing here takes any.
     }
 
+    /** How often keys of divided services were asked for here since the last time; goes with the next poll. */
+    default List<Flag> heat() {
+        return List.of();
+    }
+
+    /** Calls a worker for the keeper of the key ranges. */
+    default void callWorker(String address, String instance, String path, String body, long timeout,
+            Consumer<KeeperHost.Answer> answer) {
+        answer.accept(new KeeperHost.Answer(0, null, false));
+    }
+
     /** The connection to a node is gone. */
     default void peerLost(String address) {
         // Only those that hold copies together look after each other.
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -341,6 +341,16 @@
         return deck.now() - followedSince() < times.authority() && deck.now() >= givingFrom;
     }
 
+    /** Whether this node leads and nobody else can by now. */
+    public boolean authoritative() {
+        return deck.now() - followedSince() < times.authority();
+    }
+
+    /** From then on no primary before this one acts on its authority. */
+    public long quietUntil() {
+        return quietUntil;
+    }
+
     public long givingFrom() {
         return givingFrom;
     }
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -14,6 +14,7 @@
 import org.otterpond.harbour.NodeIdentity;
 import org.otterpond.harbour.QuotaTerms;
 import org.otterpond.harbour.WatchTimes;
+import org.otterpond.keys.HoldTerms;
 import org.otterpond.logbook.Logbook;
 import org.otterpond.logbook.LogbookException;
 import org.otterpond.quay.Call;
@@ -131,7 +132,8 @@
     private HarbourTerms terms() {
         return new HarbourTerms(settings.heartbeatMicros(), settings.keyWindowMicros(), settings.faults(),
                 new QuotaTerms(settings.quotaWindowMicros(), settings.quotaExcess(), settings.quotaSlack(),
-                        WatchTimes.standard().lent(), settings.ceilingWindowMicros(), settings.ceilingExcess() - 1));
+                        WatchTimes.standard().lent(), settings.ceilingWindowMicros(), settings.ceilingExcess() - 1),
+                HoldTerms.of(settings.holdMicros(), settings.thawMicros()));
     }
 
     private static void makeIdentity(Logbook logbook, String diskId) throws LogbookException {
