--- a/src/main/java/org/otterpond/harbour/KeeperDeck.java
+++ b/src/main/java/org/otterpond/harbour/KeeperDeck.java
@@ -78,6 +78,11 @@
         return out.stream().map(this::of).toList();
     }
 
+    @Override
+    public long random(long bound) {
+        return deck.random(bound);
+    }
+
     @Override
     public void event(String line) {
         deck.event(line);
--- a/src/main/java/org/otterpond/keys/Balancer.java
+++ b/src/main/java/org/otterpond/keys/Balancer.java
@@ -18,6 +18,10 @@
     private static final double ABOVE_MEAN = 1.25;
     /** As far as a receiver is filled. */
     private static final double FILL = 0.65;
+    /** A piece of less than this part of what is looked for is not worth its move. */
+    private static final double LEAST_PIECE = 0.15;
+    /** So many keys more weigh as much as the move itself. */
+    private static final int WIDTH = 16;
     private static final int MOVES_A_PERIOD = 24;
     private static final int MOST_MOVING = 48;
     private static final long REST = 3_000_000;
@@ -148,7 +152,9 @@
                 if (free <= 0 || now - l.movedAt < REST && hot(heat, l) < 2 * free) {
                     break;
                 }
-                int[] piece = piece(heat, l.from, keeper.last(l), Math.min(free, excess));
+                double apart = (Math.max(from.used(work, true), from.used(work, false))
+                        - Math.max(to.used(work, true), to.used(work, false))) * slots / work;
+                int[] piece = piece(heat, l.from, keeper.last(l), Math.min(free, excess), 0.8 * apart);
                 if (piece == null) {
                     break;
                 }
@@ -176,31 +182,46 @@
         return heat.in(l.from, keeper.last(l))[0];
     }
 
-    /** The fewest neighbouring keys that make up about so many requests a second; null if there are none. */
-    private static int[] piece(KeyHeat heat, int from, int last, double rate) {
+    /**
+     * Neighbouring keys to give away: as much heat on as few keys as can be had, up to the rate that the receiver has room
+     * for; or one key alone that is hotter, if the receiver still ends up with less than the giver. Null if nothing is
+     * worth its move.
+     */
+    private static int[] piece(KeyHeat heat, int from, int last, double rate, double most) {
         List<Map.Entry<Integer, double[]>> keys = new ArrayList<>(heat.of(from, last).entrySet());
+        if (keys.size() < 2) {
+            return null;
+        }
         int[] best = null;
-        double bestRate = 0;
+        double bestScore = 0;
         double sum = 0;
         int at = 0;
         for (int i = 0; i < keys.size(); i++) {
-            sum += keys.get(i).getValue()[0];
-            while (sum > rate && at < i) {
+            double h = keys.get(i).getValue()[0];
+            int key = keys.get(i).getKey();
+            if (h > rate && h < most && score(h, 1) > bestScore) {
+                best = new int[] {key, key};
+                bestScore = score(h, 1);
+            }
+            sum += h;
+            while (sum > rate && at <= i) {
                 sum -= keys.get(at++).getValue()[0];
             }
-            if (sum > rate) {
+            if (at > i) {
+                sum = 0;
                 continue;
             }
-            int width = keys.get(i).getKey() - keys.get(at).getKey() + 1;
-            boolean whole = keys.get(at).getKey() == from && keys.get(i).getKey() == last && at == 0
-                    && i == keys.size() - 1 && keys.size() == 1;
-            if (!whole && (best == null || sum > bestRate * 1.1
-                    || sum > bestRate * 0.9 && width < best[1] - best[0] + 1)) {
-                best = new int[] {keys.get(at).getKey(), keys.get(i).getKey()};
-                bestRate = Math.max(bestRate, sum);
+            int width = key - keys.get(at).getKey() + 1;
+            if (sum > LEAST_PIECE * rate && score(sum, width) > bestScore) {
+                best = new int[] {keys.get(at).getKey(), key};
+                bestScore = score(sum, width);
             }
         }
-        return bestRate < rate * 0.15 ? null : best;
+        return best;
+    }
+
+    private static double score(double rate, int width) {
+        return rate / (width + WIDTH);
     }
 
     /** Workers that hold nothing get a part of the widest ranges, one at a time. */
--- a/src/main/java/org/otterpond/keys/KeeperHost.java
+++ b/src/main/java/org/otterpond/keys/KeeperHost.java
@@ -28,6 +28,9 @@
     /** The workers of a service that are alive. */
     List<Worker> workers(String service);
 
+    /** A number in [0, bound). */
+    long random(long bound);
+
     void event(String line);
 
     /** A worker, as the register has it. */
--- a/src/main/java/org/otterpond/keys/KeyKeeper.java
+++ b/src/main/java/org/otterpond/keys/KeyKeeper.java
@@ -57,7 +57,7 @@
             Lease l = new Lease(KeyRange.of(f));
             l.heldUntil = until;
             // Spread, so that not all are renewed in one moment.
-            l.renewAt = host.now() + (long) (Math.random() * STEP * 4);
+            l.renewAt = host.now() + host.random(4 * STEP);
             ranges(l.service).put(l.from, l);
             topFence = Math.max(topFence, l.fence);
         }
@@ -257,7 +257,7 @@
             if (a.status() == 200) {
                 l.heldUntil = Math.max(l.heldUntil, now + terms.longest());
                 // A little sooner or later each time, so that renewals spread.
-                l.renewAt = now + (long) (terms.renewal() * (0.85 + 0.3 * Math.random()));
+                l.renewAt = now + terms.renewal() * 85 / 100 + host.random(terms.renewal() * 3 / 10);
                 if (l.state == RangeState.GRANTING && !l.writing) {
                     l.token = null;
                     to(l, RangeState.HELD, () -> { });
--- a/src/main/java/org/otterpond/message/Depot.java
+++ b/src/main/java/org/otterpond/message/Depot.java
@@ -433,6 +433,18 @@
                 && p.group.view().primary().equals(me) && !p.group.view().secondaries().isEmpty());
     }
 
+    /** Whether this node serves a partition now. */
+    public boolean serves(int partition) {
+        Partition p = partitions.get(partition);
+        return p != null && p.group.serving();
+    }
+
+    /** How a partition stands here, in one line; null if it is not here. */
+    public String describe(int partition) {
+        Partition p = partitions.get(partition);
+        return p == null ? null : p.group.toString();
+    }
+
     /** Figures for the metrics: partitions led, held, queued, dead letters, oldest in seconds. */
     public Map<String, Double> figures() {
         Map<String, Double> out = new LinkedHashMap<>();
--- a/src/main/java/org/otterpond/replica/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replica/ReplicaGroup.java
@@ -87,6 +87,19 @@
         this.list = new PreparedList(id, host, machine);
     }
 
+    /** One line for logs and failed tests. */
+    @Override
+    public String toString() {
+        StringBuilder b = new StringBuilder("group=" + id + " version=" + (view == null ? "none" : view.version()
+                + " primary=" + view.primary() + " secondaries=" + view.secondaries() + " wanted=" + view.wanted()))
+                .append(" whole=" + whole + " reconciled=" + reconciled + " last=" + list.last() + " durable="
+                        + list.durable() + " committed=" + list.committed() + " handing=" + handingOver + " revived="
+                        + revived + " broken=" + broken + " deposing=" + deposing + " source=" + source);
+        followers.forEach((m, f) -> b.append(" [" + m + " candidate=" + f.candidate + " copied=" + f.copied
+                + " reconciled=" + f.reconciled + " acked=" + f.acked + " may=" + f.mayBeMember + "]"));
+        return b.toString();
+    }
+
     public GroupView view() {
         return view;
     }
@@ -428,6 +441,7 @@
         }
         List<String> dead = new ArrayList<>();
         boolean doubtful = false;
+        int silent = 0;
         for (Map.Entry<String, Follower> e : followers.entrySet()) {
             Follower f = e.getValue();
             boolean lags = !f.candidate && !f.reconciled || f.acked < list.last();
@@ -437,13 +451,16 @@
             boolean behind = lags && now - f.progressAt > times.stall();
             if (f.candidate) {
                 doubtful |= f.mayBeMember && behind;
-            } else if (behind || now - Math.max(f.beaconAt, adoptedAt) > times.lease()
+            } else if (now - Math.max(f.beaconAt, adoptedAt) > times.lease()
                     || f.lostAt > f.beaconAt && now - f.lostAt > 2 * times.beacon()) {
                 dead.add(e.getKey());
+                silent++;
+            } else if (behind) {
+                dead.add(e.getKey());
             }
         }
         // One that hears none of several others is rather cut off itself: they are given the time to take over.
-        boolean cutOff = view.secondaries().size() > 1 && dead.size() == view.secondaries().size() && !longSilent(now);
+        boolean cutOff = silent > 1 && silent == view.secondaries().size() && !longSilent(now);
         if (!dead.isEmpty() && !cutOff || doubtful) {
             propose(view.next(me, view.secondaries().stream().filter(s -> !dead.contains(s)).toList()));
             return;
@@ -660,6 +677,7 @@
         long keep = Math.max(point, list.committed());
         list.truncate(keep);
         reconciledVersion = v.version();
+        host.journal(new Flag("reconciled").with("group", id).with("version", v.version()), place -> { });
         List<Flag> entries = f.flags("entries");
         long serial = point;
         boolean any = false;
@@ -803,6 +821,7 @@
                 whole |= view.version() == 1;
             }
             case "prep" -> list.replayed(f.number("serial"), f.flag("entry"), f.number("point"), place);
+            case "reconciled" -> reconciledVersion = f.number("version");
             case "trunc" -> list.replayedTruncation(f.number("serial"));
             case "copy" -> {
                 whole = false;
--- a/src/test/java/org/otterpond/sim/SimFleet.java
+++ b/src/test/java/org/otterpond/sim/SimFleet.java
@@ -25,6 +25,9 @@
     final Checker checker;
     final List<SimNode> disks = new ArrayList<>();
     final List<SimNode> all = new ArrayList<>();
+    final List<SimNode> stores = new ArrayList<>();
+    /** The services of every configuration that the operator sends. */
+    String services = "[]";
     private final List<String> seeds;
     private boolean calling = true;
     private long nextRevision = 1;
@@ -56,13 +59,22 @@
         return n;
     }
 
+    /** A machine that stores messages. */
+    SimNode addStore(String address, MessageChecker messages) {
+        SimNode n = add(address, false);
+        n.storeDisk = new SimStoreDisk(world);
+        n.messages = messages;
+        stores.add(n);
+        return n;
+    }
+
     SimNode leader() {
         return all.stream().filter(SimNode::leading).reduce((a, b) ->
                 a.node.known().epoch() > b.node.known().epoch() ? a : b).orElse(null);
     }
 
     SimNode anyUp() {
-        List<SimNode> up = all.stream().filter(SimNode::up).toList();
+        List<SimNode> up = all.stream().filter(n -> n.up() && n.storeDisk == null).toList();
         return up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
     }
 
@@ -104,7 +116,7 @@
             then.run();
             return;
         }
-        String text = "{\"revision\":" + revision + ",\"route_table\":[],\"service_table\":[],\"subscribers\":["
+        String text = "{\"revision\":" + revision + ",\"route_table\":[],\"service_table\":" + services + ",\"subscribers\":["
                 + "{\"name\":\"" + TENANT + "\",\"access_keys\":[\"" + Checker.keyOf(revision) + "\",\""
                 + Checker.keyOf(base) + "\"],\"rate_per_s\":" + RATE + ",\"burst_size\":" + BURST + "}]}";
         boolean[] first = {tries == 4};
--- a/src/test/java/org/otterpond/sim/SimNode.java
+++ b/src/test/java/org/otterpond/sim/SimNode.java
@@ -12,6 +12,12 @@
 import org.otterpond.harbour.NodeIdentity;
 import org.otterpond.harbour.Shore;
 import org.otterpond.harbour.Vessel;
+import org.otterpond.keys.KeeperHost;
+import org.otterpond.keys.RangeTable;
+import org.otterpond.message.Depot;
+import org.otterpond.message.StoreTerms;
+import org.otterpond.replica.GroupTimes;
+import org.otterpond.replica.GroupView;
 import org.otterpond.signal.Flag;
 
 /** One machine with one node on it, driving the same state machines as the daemon. */
@@ -27,6 +33,14 @@
     HarbourNode node;
     final Map<String, Vessel> workers = new HashMap<>();
     Configuration configuration;
+    /** What this machine stores of messages, if it is one that does. */
+    SimStoreDisk storeDisk;
+    Depot depot;
+    SimCourier courier;
+    MessageChecker messages;
+    SimWorkers keyWorkers;
+    final RangeTable ranges = new RangeTable();
+    final Map<Integer, GroupView> partitions = new HashMap<>();
     private boolean frozen;
     private boolean dark;
     private final List<Runnable> frozenTasks = new ArrayList<>();
@@ -56,6 +70,10 @@
         }
     }
 
+    boolean frozen() {
+        return frozen;
+    }
+
     boolean leading() {
         return node != null && !frozen && node.leading();
     }
@@ -67,17 +85,28 @@
         dark = false;
         deck = new SimDeck();
         workers.clear();
+        partitions.clear();
         configuration = null;
         long life = world.random.nextLong() >>> 1;
         boolean blank = disk != null && disk.blank();
         checker.started(address, life);
         node = new HarbourNode(deck, new NodeIdentity(address, address, "z", disk == null ? null : disk.id, blank,
-                firstStart, seeds, life), new SimShore(life),
+                firstStart, seeds, life, storeDisk == null ? null : storeDisk.id), new SimShore(life),
                 new HarbourTerms(1_500_000, Checker.WINDOW, faults, SimFleet.QUOTA));
         if (disk != null && !blank) {
             node.replay(disk.read());
         }
         firstStart = false;
+        if (storeDisk != null) {
+            SimDeck d = deck;
+            courier = new SimCourier(world, messages, d::perform);
+            depot = new Depot(deck, storeDisk.id, address, storeDisk.attached(d::perform),
+                    new StoreTerms(300_000_000, 30_000_000, 100_000, GroupTimes.standard()), courier);
+            courier.depot = depot;
+            depot.fit(node);
+            storeDisk.read().forEach((place, f) -> depot.replay(f, place));
+            depot.start();
+        }
         node.start();
     }
 
@@ -96,6 +125,9 @@
             if (disk != null) {
                 disk.processDied();
             }
+            if (storeDisk != null) {
+                storeDisk.processDied();
+            }
         }
     }
 
@@ -104,6 +136,9 @@
         if (disk != null) {
             disk.losePower();
         }
+        if (storeDisk != null) {
+            storeDisk.losePower();
+        }
         if (node != null) {
             deck.alive = false;
             node = null;
@@ -161,6 +196,44 @@
             // Only the data path uses it.
         }
 
+        @Override
+        public void assigned(Flag entry) {
+            ranges.take(entry);
+            if (entry.text("key").startsWith("partition:")) {
+                GroupView v = GroupView.of(entry);
+                partitions.put(v.group(), v);
+            }
+            if (depot != null) {
+                depot.assigned(entry);
+            }
+        }
+
+        @Override
+        public void message(String from, Flag f, Consumer<Flag> reply) {
+            if (depot != null) {
+                depot.message(from, f, reply);
+            }
+        }
+
+        @Override
+        public void peerLost(String other) {
+            if (depot != null) {
+                depot.peerLost(other);
+            }
+        }
+
+        @Override
+        public void callWorker(String to, String instance, String path, String body, long timeout,
+                Consumer<KeeperHost.Answer> answer) {
+            SimDeck d = deck;
+            keyWorkers.call(address, to, path, body, timeout, a -> d.perform(() -> answer.accept(a)));
+        }
+
+        @Override
+        public List<Flag> heat() {
+            return keyWorkers == null ? List.of() : keyWorkers.heat(address);
+        }
+
         @Override
         public Flag outcome(String key, String token) {
             return null;
--- a/src/test/java/org/otterpond/sim/SimWorld.java
+++ b/src/test/java/org/otterpond/sim/SimWorld.java
@@ -63,6 +63,10 @@
         cuts.add(b + ">" + a);
     }
 
+    boolean isCut(String a, String b) {
+        return cuts.contains(a + ">" + b);
+    }
+
     /** Cuts the node off from every other. */
     void cutOff(String a) {
         nodes.keySet().stream().filter(b -> !b.equals(a)).forEach(b -> cut(a, b));
