Copies over two zones, short beacons, unsent messages told apart; status and commands of both tiers

A put whose connection never came up is proved not to have arrived, so it is refused in time instead of ending in 502.

--- a/src/main/java/org/otterpond/cargo/Dispatcher.java
+++ b/src/main/java/org/otterpond/cargo/Dispatcher.java
@@ -171,6 +171,13 @@
         depot.message(from, f, reply);
     }
 
+    @Override
+    public Flag figures() {
+        Flag f = new Flag("figures").with("in_flight", open());
+        depot.figures().forEach(f::with);
+        return f;
+    }
+
     @Override
     public void peerLost(String address) {
         depot.peerLost(address);
--- a/src/main/java/org/otterpond/chart/Settings.java
+++ b/src/main/java/org/otterpond/chart/Settings.java
@@ -18,7 +18,7 @@
         String logLevel, boolean ejectSlow, int faults, boolean revocationGlobal, long revokeMicros,
         long quotaWindowMicros, double quotaExcess, double quotaSlack, String deployment, boolean storage,
         long statusMicros, long ceilingWindowMicros, double ceilingExcess, int diskMb, long holdMicros,
-        long thawMicros) {
+        long thawMicros, int zoneFaults) {
     private static final Set<String> DEPLOYMENTS = Set.of("gateway", "queue");
 
     public static Settings load(Path file) throws ChartException {
@@ -74,7 +74,8 @@
                 (long) (1_000_000 * b.real("status_s", 0, 60)),
                 (long) (1_000_000 * b.real("ceiling_window_s", 0.1, 5)), b.real("ceiling_excess", 1, 1.1),
                 (int) l.whole("disk_mb", 0, 1 << 24, 256), 1000 * b.whole("max_hold_ms", 100, 3_600_000, 10_000),
-                1000 * b.whole("thaw_slack_ms", 0, 3_600_000, 300));
+                1000 * b.whole("thaw_slack_ms", 0, 3_600_000, 300),
+                (int) t.whole("zones", 0, 100, 0));
     }
 
     private static String deployment(Fields f) throws ChartException {
--- a/src/main/java/org/otterpond/client/Client.java
+++ b/src/main/java/org/otterpond/client/Client.java
@@ -10,7 +10,8 @@
         description = "An API gateway of many nodes. 'node' runs one (its settings file is named by OTTERPOND_CONFIG),"
                 + " 'rehearse' tries one alone on this machine; the commands below talk to running nodes.",
         footer = {"", "Exit codes: 0 done; 1 refused, or invalid; 2 wrong usage; 3 no clear answer."},
-        subcommands = {ConfigCommand.class, StatusCommand.class, TrialWorker.class})
+        subcommands = {ConfigCommand.class, StatusCommand.class, MessageCommand.class, RetireCommand.class,
+                TrialWorker.class})
 public final class Client implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/org/otterpond/client/ControlCall.java
+++ b/src/main/java/org/otterpond/client/ControlCall.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -37,23 +38,31 @@
     }
 
     String get(String path) throws ClientException {
-        return call("GET", path, null, null);
+        return call("GET", path, null, Map.of());
     }
 
     String post(String path, String body, long base) throws ClientException {
-        return call("POST", path, body, Long.toString(base));
+        return call("POST", path, body, Map.of("X-Otterpond-Base-Revision", Long.toString(base)));
     }
 
-    private String call(String method, String path, String body, String base) throws ClientException {
+    String post(String path, String body) throws ClientException {
+        return call("POST", path, body, Map.of());
+    }
+
+    String get(String path, Map<String, String> headers) throws ClientException {
+        return call("GET", path, null, headers);
+    }
+
+    private String call(String method, String path, String body, Map<String, String> headers) throws ClientException {
         List<String> failures = new ArrayList<>();
         for (int round = 0; round < ROUNDS; round++) {
             for (String node : nodes) {
                 try {
-                    Said said = ask("http://" + node, method, path, body, base);
+                    Said said = ask("http://" + node, method, path, body, headers);
                     for (int hop = 0; hop < HOPS && said.status() == 307 && said.location() != null; hop++) {
                         URI there = new URI(said.location());
                         said = ask(there.getScheme() + "://" + there.getAuthority(), method, there.getPath(), body,
-                                base);
+                                headers);
                     }
                     if (said.status() / 100 == 2) {
                         return said.text();
@@ -75,13 +84,13 @@
 
     private record Said(int status, String location, String text) {}
 
-    private static Said ask(String host, String method, String path, String body, String base)
+    private static Said ask(String host, String method, String path, String body, Map<String, String> headers)
             throws IOException, HttpException, URISyntaxException {
         ClassicHttpRequest r = ClassicRequestBuilder.create(method).setPath(path).build();
         if (body != null) {
             r.setEntity(new StringEntity(body, ContentType.APPLICATION_JSON));
-            r.setHeader("X-Otterpond-Base-Revision", base);
         }
+        headers.forEach(r::setHeader);
         try (HttpRequester requester = RequesterBootstrap.bootstrap()
                 .setSocketConfig(SocketConfig.custom().setSoTimeout(PATIENCE).build()).create();
                 ClassicHttpResponse a = requester.execute(HttpHost.create(host), r, PATIENCE,
--- a/src/main/java/org/otterpond/client/StatusPage.java
+++ b/src/main/java/org/otterpond/client/StatusPage.java
@@ -30,6 +30,8 @@
         p.zones();
         p.nodes(all);
         p.quotas();
+        p.stores();
+        p.keys();
         p.workers(all);
         return p.lines;
     }
@@ -83,6 +85,28 @@
                 text(q, "out"), text(q, "granted"), text(q, "denied")));
     }
 
+    private void stores() {
+        String row = "%-28s %-20s %6s %6s %8s %8s %10s %10s";
+        List<JsonObject> stores = rows("stores");
+        if (stores.isEmpty()) {
+            return;
+        }
+        line("%s partitions, %s of them lack copies", text(status, "partitions"), text(status, "partitions_lacking"));
+        line(row, "STORAGE", "ZONE", "LED", "HELD", "QUEUED", "DEAD", "OLDEST MS", "IN FLIGHT");
+        stores.forEach(s -> line(row, text(s, "name"), text(s, "zone"), text(s, "led"), text(s, "held"),
+                text(s, "queued"), text(s, "dead"), text(s, "oldest_ms"), text(s, "in_flight")));
+    }
+
+    private void keys() {
+        String row = "%-28s %8s %8s %8s %10s %10s %10s";
+        List<JsonObject> keys = rows("keys");
+        if (!keys.isEmpty()) {
+            line(row, "DIVIDED SERVICE", "RANGES", "OWNERS", "HELD", "GRANTING", "RELEASING", "EXPIRING");
+        }
+        keys.forEach(k -> line(row, text(k, "service"), text(k, "ranges"), text(k, "owners"), text(k, "held"),
+                text(k, "granting"), text(k, "releasing"), text(k, "expiring")));
+    }
+
     private void workers(boolean all) {
         List<JsonObject> shown = matching("workers", w -> all || !inService(w));
         if (!shown.isEmpty()) {
--- a/src/main/java/org/otterpond/harbour/Deck.java
+++ b/src/main/java/org/otterpond/harbour/Deck.java
@@ -11,6 +11,11 @@
     /** Sends a message; it may be lost, never damaged. */
     void send(String address, Flag message);
 
+    /** Names the connection on which the last message to that address went, or is below 0 if nobody knows. */
+    default long connection(String address) {
+        return -1;
+    }
+
     /** Appends a record to this node's journal; the answer says whether it is durable. */
     void journal(Flag record, Consumer<Boolean> done);
 
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -79,6 +79,8 @@
         String node;
         long resend;
         long sentAt;
+        /** The connection on which it went. */
+        long connection;
     }
 
     public HarbourNode(Deck deck, NodeIdentity me, Shore shore, HarbourTerms terms) {
@@ -240,7 +242,7 @@
         Flag f = new Flag("poll").with("addr", me.address()).with("name", me.name()).with("zone", me.zone())
                 .with("disk", me.diskId()).with("life", me.life()).with("epoch", tableEpoch)
                 .with("table", tableVersion).with("cfg", revision).with("pn", ++pollNumber)
-                .with("as", assignmentNumber).with("store", me.storeId());
+                .with("as", assignmentNumber).with("store", me.storeId()).with("figures", shore.figures());
         if (toldEpoch != known.epoch()) {
             long sum = 0;
             for (Vessel v : roster.values()) {
@@ -525,6 +527,7 @@
         a.sentAt = deck.now();
         if (a.node != null) {
             deck.send(a.node, a.flag);
+            a.connection = deck.connection(a.node);
         } else if (known != null) {
             deck.send(known.primary().address(), a.flag);
         }
@@ -547,6 +550,19 @@
      * The connection to another node was closed from there, or never came up: its process has probably ended, and
      * what was sent to it last is lost.
      */
+    public void peerLost(String address, boolean neverUp, long connection) {
+        // What went on a connection that never came up did not arrive; of the rest nobody knows.
+        new ArrayList<>(asks.entrySet()).forEach(e -> {
+            Ask a = e.getValue();
+            if (neverUp && a.resend >= ONCE && address.equals(a.node) && a.connection == connection
+                    && asks.remove(e.getKey()) != null) {
+                a.answer.accept(new Flag("reply").with("no", "unsent"));
+            }
+        });
+        peerLost(address, neverUp);
+    }
+
+    /** The same, where nobody knows on which connection what was sent. */
     public void peerLost(String address, boolean neverUp) {
         if (watch != null && !neverUp) {
             watch.peerClosed(address);
@@ -554,7 +570,7 @@
         shore.peerLost(address);
         // Who holds such an ask can only wait in vain: whether it arrived is not known.
         new ArrayList<>(asks.entrySet()).forEach(e -> {
-            if (address.equals(e.getValue().node) && e.getValue().resend >= ONCE && asks.remove(e.getKey()) != null) {
+            if (!neverUp && address.equals(e.getValue().node) && e.getValue().resend >= ONCE && asks.remove(e.getKey()) != null) {
                 e.getValue().answer.accept(null);
             }
         });
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -102,7 +102,7 @@
         this.self = self;
         this.register = new Register(terms.heartbeatMicros());
         this.chandlery = new Chandlery(terms.quota());
-        this.placement = new Placement(deck, terms.faults(), this::assign);
+        this.placement = new Placement(deck, terms.faults(), terms.zoneFaults(), this::assign);
         this.keeper = new KeyKeeper(new KeeperDeck(deck, shore, watch, register, this::assign), terms.hold());
     }
 
@@ -684,9 +684,17 @@
         EpochRecord r = watch.record();
         List<Flag> nodes = new ArrayList<>();
         long now = deck.now();
-        leases.forEach((a, l) -> nodes.add(new Flag("node").with("name", l.poll.text("name")).with("addr", a)
-                .with("zone", l.poll.text("zone")).with("cfg", l.poll.number("cfg")).with("silent_ms",
-                        Math.max(0, now - l.at) / 1000)));
+        List<Flag> storing = new ArrayList<>();
+        leases.forEach((a, l) -> {
+            Flag row = new Flag("node").with("name", l.poll.text("name")).with("addr", a)
+                    .with("zone", l.poll.text("zone")).with("cfg", l.poll.number("cfg"))
+                    .with("silent_ms", Math.max(0, now - l.at) / 1000);
+            Flag figures = l.poll.flag("figures");
+            if (figures != null) {
+                figures.fields().forEach(row::with);
+            }
+            (l.poll.has("store") ? storing : nodes).add(row);
+        });
         List<Object> silent = new ArrayList<>();
         r.members().stream().filter(m -> !m.diskId().equals(self.diskId()) && watch.silent(m, MEMBER_DEAD))
                 .forEach(m -> silent.add(m.name()));
@@ -694,7 +702,7 @@
         register.newerThan(0).forEach(v -> vessels.add(v.toFlag(now)));
         return new Flag("reply").with("confirmed", confirmed).with("record", r.toFlag()).with("silent", silent)
                 .with("rev", watch.committedRevision()).with("claims", watch.hold().claimCount())
-                .withFlags("nodes", nodes).withFlags("workers", vessels)
+                .withFlags("nodes", nodes).withFlags("stores", storing).withFlags("workers", vessels)
                 .withFlags("quotas", chandlery.status(now)).withFlags("keys", keeper.status())
                 .with("partitions", Placement.status(committed));
     }
--- a/src/main/java/org/otterpond/harbour/Placement.java
+++ b/src/main/java/org/otterpond/harbour/Placement.java
@@ -31,6 +31,8 @@
 
     private final Deck deck;
     private final int copies;
+    /** Over how many zones the copies are spread: one more than may be lost, two at least. */
+    private final int zones;
     private final Writer writer;
     private long steppedAt;
     private long changedAt;
@@ -49,8 +51,9 @@
         boolean assign(Flag entry, Runnable done);
     }
 
-    Placement(Deck deck, int faults, Writer writer) {
+    Placement(Deck deck, int faults, int zoneFaults, Writer writer) {
         this.deck = deck;
+        this.zones = Math.max(2, zoneFaults + 1);
         this.copies = faults + 1;
         this.writer = writer;
     }
@@ -115,7 +118,10 @@
         deck.event("event=partitions_founded count=" + count + " stores=" + stores.size() + " copies=" + copies);
     }
 
-    /** Fills up to the number of copies: zones not used yet first, then the least loaded. */
+    /**
+     * Fills up to the number of copies. As many zones as are wanted come first; what is left goes where copies are already,
+     * as bytes between zones cost more. Of several machines the least loaded.
+     */
     private List<Store> choose(List<Store> kept, List<Store> from, Map<String, Integer> load) {
         List<Store> out = new ArrayList<>(kept);
         while (out.size() < Math.min(copies, from.size())) {
@@ -138,8 +144,9 @@
         return out;
     }
 
-    private static int rank(Store s, Set<String> zones, Map<String, Integer> load) {
-        return (zones.contains(s.zone()) ? 1 << 20 : 0) + load.getOrDefault(s.member(), 0);
+    private int rank(Store s, Set<String> used, Map<String, Integer> load) {
+        boolean another = used.size() < zones;
+        return (used.contains(s.zone()) == another ? 1 << 20 : 0) + load.getOrDefault(s.member(), 0);
     }
 
     /** Wants others in place of machines that are gone, shunned or to be emptied; then evens out, a few at a time. */
@@ -214,15 +221,10 @@
             if (most == null) {
                 continue;
             }
-            Set<String> zones = new HashSet<>();
-            for (String m : v.wanted()) {
-                if (byMember.containsKey(m) && !m.equals(most.member())) {
-                    zones.add(byMember.get(m).zone());
-                }
-            }
+            // Within its zone, so that the copies stay spread as they are.
             Store least = null;
             for (Store s : stores) {
-                if (!v.wanted().contains(s.member()) && (!zones.contains(s.zone()) || s.zone().equals(most.zone()))
+                if (!v.wanted().contains(s.member()) && s.zone().equals(most.zone())
                         && (least == null || load.get(s.member()) < load.get(least.member()))) {
                     least = s;
                 }
--- a/src/main/java/org/otterpond/harbour/Shore.java
+++ b/src/main/java/org/otterpond/harbour/Shore.java
@@ -31,6 +31,11 @@
         return List.of();
     }
 
+    /** What a machine that stores messages tells of itself with its polls; null if this is none. */
+    default Flag figures() {
+        return null;
+    }
+
     /** Calls a worker for the keeper of the key ranges. */
     default void callWorker(String address, String instance, String path, String body, long timeout,
             Consumer<KeeperHost.Answer> answer) {
--- a/src/main/java/org/otterpond/keel/HarbourOffice.java
+++ b/src/main/java/org/otterpond/keel/HarbourOffice.java
@@ -230,6 +230,13 @@
             o.add("nodes", rows(r, "nodes", "name", "addr", "zone", "cfg", "silent_ms"));
             o.add("quotas", rows(r, "quotas", "name", "rate", "burst", "tokens", "out", "granted", "denied"));
             o.add("workers", rows(r, "workers", "id", "service", "addr", "zone", "state", "slots"));
+            o.add("stores", rows(r, "stores", "name", "addr", "zone", "led", "held", "queued", "dead", "oldest_ms",
+                    "in_flight", "silent_ms"));
+            o.add("keys", rows(r, "keys", "service", "ranges", "owners", "held", "granting", "releasing", "expiring",
+                    "fence"));
+            Flag partitions = r.flag("partitions");
+            o.addProperty("partitions", partitions == null ? 0 : partitions.number("count"));
+            o.addProperty("partitions_lacking", partitions == null ? 0 : partitions.number("lacking"));
             call.answer(Replies.json(200, o.toString()));
         });
     }
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -133,7 +133,7 @@
         return new HarbourTerms(settings.heartbeatMicros(), settings.keyWindowMicros(), settings.faults(),
                 new QuotaTerms(settings.quotaWindowMicros(), settings.quotaExcess(), settings.quotaSlack(),
                         WatchTimes.standard().lent(), settings.ceilingWindowMicros(), settings.ceilingExcess() - 1),
-                HoldTerms.of(settings.holdMicros(), settings.thawMicros()));
+                HoldTerms.of(settings.holdMicros(), settings.thawMicros()), settings.zoneFaults());
     }
 
     private static void makeIdentity(Logbook logbook, String diskId) throws LogbookException {
--- a/src/main/java/org/otterpond/keel/ShipsDeck.java
+++ b/src/main/java/org/otterpond/keel/ShipsDeck.java
@@ -36,6 +36,11 @@
         links.send(address, message);
     }
 
+    @Override
+    public long connection(String address) {
+        return links.connection(address);
+    }
+
     @Override
     public void journal(Flag record, Consumer<Boolean> done) {
         purser.journal(record, done);
--- a/src/main/java/org/otterpond/message/Depot.java
+++ b/src/main/java/org/otterpond/message/Depot.java
@@ -36,6 +36,19 @@
     private long expired;
     private long cleaned;
     private boolean cleaning;
+    private long beaconNumber;
+    private final Map<String, Beacon> beaconsSent = new HashMap<>();
+    /** The newest list of groups that each machine has sent. */
+    private final Map<String, Flag> beaconsHeard = new HashMap<>();
+
+    /** What one machine was last told of the groups that this one leads. */
+    private static final class Beacon {
+        /** Group, version, group, version. */
+        final List<Object> groups = new ArrayList<>();
+        final Map<Integer, Long> points = new HashMap<>();
+        long number;
+        boolean taken;
+    }
 
     private final class Partition implements GroupHost {
         final int id;
@@ -199,58 +212,101 @@
         deck.after(terms.times().beacon() / 3, this::tick);
     }
 
-    /** One to each machine, for all groups that this one leads with a secondary there. */
+    /**
+     * One to each machine, for all groups that this one leads with a secondary there. The groups and versions are named
+     * only when they have changed, or the other has not got them; committed points only when they have moved.
+     */
     private void beacons(long now) {
-        Map<String, List<Object>> byMember = new LinkedHashMap<>();
+        Map<String, Beacon> byMember = new LinkedHashMap<>();
         partitions.values().forEach(p -> {
             GroupView v = p.group.view();
             if (v == null || !v.primary().equals(me)) {
                 return;
             }
             for (String s : v.secondaries()) {
-                List<Object> l = byMember.computeIfAbsent(s, x -> new ArrayList<>());
-                l.add((long) p.id);
-                l.add(v.version());
-                l.add(p.group.committed());
+                Beacon b = byMember.computeIfAbsent(s, x -> new Beacon());
+                b.groups.add((long) p.id);
+                b.groups.add(v.version());
+                b.points.put(p.id, p.group.committed());
+            }
+        });
+        beaconsSent.keySet().retainAll(byMember.keySet());
+        byMember.forEach((m, b) -> {
+            Beacon last = beaconsSent.put(m, b);
+            Flag f = new Flag("g.beacon").with("to", m).with("at", now);
+            boolean same = last != null && last.taken && last.groups.equals(b.groups);
+            b.number = same ? last.number : ++beaconNumber;
+            b.taken = same;
+            f.with("n", b.number).with("life", node.life());
+            if (!same) {
+                f.with("from", me).with("groups", b.groups);
             }
+            List<Object> points = new ArrayList<>();
+            b.points.forEach((id, point) -> {
+                if (!same || !point.equals(last.points.get(id))) {
+                    points.add((long) id);
+                    points.add(point);
+                }
+            });
+            if (!points.isEmpty()) {
+                f.with("points", points);
+            }
+            deck.send(GroupView.addressOf(m), f);
         });
-        byMember.forEach((m, l) -> deck.send(GroupView.addressOf(m), new Flag("g.beacon").with("to", m)
-                .with("from", me).with("at", now).with("groups", l)));
     }
 
     private void onBeacon(String from, Flag f) {
         if (!me.equals(f.text("to"))) {
             return;
         }
-        List<Object> groups = f.list("groups");
-        List<Object> taken = new ArrayList<>();
-        for (int i = 0; i + 2 < groups.size(); i += 3) {
+        if (f.has("groups")) {
+            beaconsHeard.put(from, f);
+        }
+        Flag list = beaconsHeard.get(from);
+        Flag answer = new Flag("g.beaconed").with("at", f.number("at")).with("n", f.number("n"));
+        if (list == null || list.number("n") != f.number("n") || list.number("life") != f.number("life")) {
+            // The list that it speaks of has not come here: it is asked for.
+            deck.send(from, answer.with("member", me).with("unknown", true));
+            return;
+        }
+        Map<Integer, Long> points = new HashMap<>();
+        List<Object> told = f.list("points");
+        for (int i = 0; i + 1 < told.size(); i += 2) {
+            points.put(((Number) told.get(i)).intValue(), ((Number) told.get(i + 1)).longValue());
+        }
+        List<Object> groups = list.list("groups");
+        List<Object> refused = new ArrayList<>();
+        for (int i = 0; i + 1 < groups.size(); i += 2) {
             int id = ((Number) groups.get(i)).intValue();
             long version = ((Number) groups.get(i + 1)).longValue();
             Partition p = partitions.get(id);
-            boolean ok = p != null && p.group.beacon(f.text("from"), version,
-                    ((Number) groups.get(i + 2)).longValue());
-            taken.add((long) id);
-            taken.add(version);
-            taken.add(ok);
-            if (!ok && p != null && p.group.view() != null && p.group.view().version() > version) {
-                deck.send(from, new Flag("g.view").with("to", f.text("from")).with("group", id)
+            if (p != null && p.group.beacon(list.text("from"), version, points.getOrDefault(id, 0L))) {
+                continue;
+            }
+            refused.add((long) id);
+            if (p != null && p.group.view() != null && p.group.view().version() > version) {
+                deck.send(from, new Flag("g.view").with("to", list.text("from")).with("group", id)
                         .with("view", p.group.view().toFlag("view")));
             }
         }
-        deck.send(from, new Flag("g.beaconed").with("member", me).with("at", f.number("at")).with("groups", taken));
+        deck.send(from, answer.with("member", me).with("refused", refused.isEmpty() ? null : refused));
     }
 
     private void onBeaconed(String from, Flag f) {
-        List<Object> groups = f.list("groups");
-        for (int i = 0; i + 2 < groups.size(); i += 3) {
-            Partition p = partitions.get(((Number) groups.get(i)).intValue());
-            if (p == null) {
-                continue;
-            }
-            long version = ((Number) groups.get(i + 1)).longValue();
-            if (Boolean.TRUE.equals(groups.get(i + 2))) {
-                p.group.beaconAcknowledged(f.text("member"), version, f.number("at"));
+        Beacon b = beaconsSent.get(f.text("member"));
+        if (b == null || b.number != f.number("n")) {
+            return;
+        }
+        b.taken = !f.truth("unknown");
+        if (!b.taken) {
+            return;
+        }
+        List<Object> refused = f.list("refused");
+        for (int i = 0; i + 1 < b.groups.size(); i += 2) {
+            Partition p = partitions.get(((Number) b.groups.get(i)).intValue());
+            if (p != null && !refused.contains(b.groups.get(i))) {
+                p.group.beaconAcknowledged(f.text("member"), ((Number) b.groups.get(i + 1)).longValue(),
+                        f.number("at"));
             }
         }
     }
@@ -445,27 +501,27 @@
         return p == null ? null : p.group.toString();
     }
 
-    /** Figures for the metrics: partitions led, held, queued, dead letters, oldest in seconds. */
-    public Map<String, Double> figures() {
-        Map<String, Double> out = new LinkedHashMap<>();
+    /** What this machine tells of itself: partitions led and held, messages queued and dead, the oldest's wait. */
+    public Map<String, Long> figures() {
+        Map<String, Long> out = new LinkedHashMap<>();
         long now = deck.now();
-        double led = 0;
-        double queued = 0;
-        double dead = 0;
-        double oldest = 0;
+        long led = 0;
+        long queued = 0;
+        long dead = 0;
+        long oldest = 0;
         for (Partition p : partitions.values()) {
             if (p.queue.serving()) {
                 led++;
                 queued += p.queue.queued();
                 dead += p.queue.dead();
-                oldest = Math.max(oldest, p.queue.oldest(now) / 1e6);
+                oldest = Math.max(oldest, p.queue.oldest(now) / 1000);
             }
         }
-        out.put("partitions.led", led);
-        out.put("partitions.held", (double) partitions.size());
-        out.put("messages.queued", queued);
-        out.put("messages.dead", dead);
-        out.put("messages.oldest.seconds", oldest);
+        out.put("led", led);
+        out.put("held", (long) partitions.size());
+        out.put("queued", queued);
+        out.put("dead", dead);
+        out.put("oldest_ms", oldest);
         return out;
     }
 }
--- a/src/main/java/org/otterpond/message/MessageQueue.java
+++ b/src/main/java/org/otterpond/message/MessageQueue.java
@@ -18,6 +18,8 @@
  * partition's group; only the primary's copy hands messages to the courier.
  */
 public final class MessageQueue implements StateMachine {
+    private static final int OLDEST_LOOK = 200;
+
     private final GroupHost host;
     private final Records records;
     private final Courier courier;
@@ -61,13 +63,17 @@
 
     /** How long the oldest message that is due has waited, in microseconds. */
     long oldest(long now) {
-        long oldest = 0;
+        // Accepted in this order; the first that is due and still here is the one that waits, or close to it.
+        int looked = 0;
         for (Message m : index.values()) {
             if (m.state == Message.State.QUEUED && m.dueAt <= now) {
-                oldest = Math.max(oldest, now - m.dueAt);
+                return now - m.dueAt;
+            }
+            if (++looked > OLDEST_LOOK) {
+                break;
             }
         }
-        return oldest;
+        return 0;
     }
 
     // --------------------------------------------------------------- entries
--- a/src/main/java/org/otterpond/quay/Link.java
+++ b/src/main/java/org/otterpond/quay/Link.java
@@ -30,6 +30,7 @@
     private byte[] in = new byte[512];
     private int filled;
     private String peer;
+    long number;
     private boolean connected;
     private boolean closed;
     private boolean flushDue;
--- a/src/main/java/org/otterpond/quay/Links.java
+++ b/src/main/java/org/otterpond/quay/Links.java
@@ -25,13 +25,19 @@
     private final Quay quay;
     private final String self;
     private final BiConsumer<String, Flag> receiver;
-    private final BiConsumer<String, Boolean> lost;
+    private final Lost lost;
+    private long connections;
     private final ServerSocketChannel server;
     private final Map<String, Link> links = new HashMap<>();
     private final List<Link> all = new ArrayList<>();
     private final Map<String, Long> failedAt = new HashMap<>();
 
-    public Links(Quay quay, String self, BiConsumer<String, Flag> receiver, BiConsumer<String, Boolean> lost)
+    /** Told that a connection was closed from the other side, or never came up; it is named by its number. */
+    public interface Lost {
+        void lost(String address, boolean neverUp, long connection);
+    }
+
+    public Links(Quay quay, String self, BiConsumer<String, Flag> receiver, Lost lost)
             throws IOException {
         this.lost = lost;
         this.quay = quay;
@@ -61,6 +67,12 @@
         }
     }
 
+    /** The number of the connection that is used for an address; 0 if there is none, as it is too soon to dial again. */
+    public long connection(String to) {
+        Link l = links.get(to);
+        return l == null ? 0 : l.number;
+    }
+
     public void send(String to, Flag f) {
         if (to.equals(self)) {
             quay.execute(() -> receiver.accept(self, f));
@@ -71,7 +83,7 @@
             Long failed = failedAt.get(to);
             if (failed != null && Quay.now() - failed < RECONNECT) {
                 // Too soon to dial again: whoever waits for an answer must know that nothing went out.
-                quay.execute(() -> lost.accept(to, true));
+                quay.execute(() -> lost.lost(to, true, 0));
                 return;
             }
             try {
@@ -79,9 +91,10 @@
                 l.connect(address(to));
             } catch (IOException | RuntimeException e) {
                 failedAt.put(to, Quay.now());
-                quay.execute(() -> lost.accept(to, true));
+                quay.execute(() -> lost.lost(to, true, 0));
                 return;
             }
+            l.number = ++connections;
             links.put(to, l);
             all.add(l);
             l.send(FlagCodec.encode(new Flag("link").with("addr", self)));
@@ -92,6 +105,7 @@
     void received(Link from, Flag f) {
         if (f.kind().equals("link")) {
             from.peer(f.text("addr"));
+            from.number = ++connections;
             links.put(f.text("addr"), from);
             failedAt.remove(f.text("addr"));
         } else if (from.peer() != null) {
@@ -104,7 +118,7 @@
         if (l.peer() != null) {
             boolean current = links.remove(l.peer(), l);
             if (current && (byPeer || neverUp)) {
-                lost.accept(l.peer(), neverUp);
+                lost.lost(l.peer(), neverUp, l.number);
             }
             if (neverUp) {
                 failedAt.put(l.peer(), Quay.now());
--- a/src/main/java/org/otterpond/replica/GroupTimes.java
+++ b/src/main/java/org/otterpond/replica/GroupTimes.java
@@ -19,6 +19,6 @@
     }
 
     public static GroupTimes standard() {
-        return new GroupTimes(150_000, 700_000, 900_000, 900_000, 250_000);
+        return new GroupTimes(150_000, 500_000, 620_000, 800_000, 250_000);
     }
 }
--- a/src/test/java/org/otterpond/quay/LinksTest.java
+++ b/src/test/java/org/otterpond/quay/LinksTest.java
@@ -23,7 +23,7 @@
     void everyMessageThatMeetsNoListenerIsToldAsLost() throws Exception {
         Quay quay = new Quay();
         LinkedBlockingQueue<String> lost = new LinkedBlockingQueue<>();
-        Links links = new Links(quay, freePoint(), (from, f) -> { }, (peer, never) -> lost.add(peer + never));
+        Links links = new Links(quay, freePoint(), (from, f) -> { }, (peer, never, connection) -> lost.add(peer + never));
         String nobody = freePoint();
         Thread t = new Thread(quay, "owner");
         t.setDaemon(true);
