--- a/src/main/java/org/otterpond/logbook/Logbook.java
+++ b/src/main/java/org/otterpond/logbook/Logbook.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
-import java.util.zip.CRC32C;
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.FlagCodec;
 import org.otterpond.signal.SignalException;
@@ -20,8 +19,6 @@
  * A file begins with everything that came before it, so one whole file is enough.
  */
 public final class Logbook {
-    private static final int HEAD = 8;
-    private static final int MAX_RECORD = 48 << 20;
     private static final String PREFIX = "log-";
 
     private final Path folder;
@@ -86,10 +83,10 @@
         ByteBuffer b = ByteBuffer.wrap(all);
         List<Flag> out = new ArrayList<>();
         end = 0;
-        while (b.remaining() >= HEAD) {
+        while (b.remaining() >= Frames.HEAD) {
             int length = b.getInt();
             int crc = b.getInt();
-            if (length <= 0 || length > b.remaining() || crcOf(all, b.position(), length) != crc) {
+            if (length <= 0 || length > b.remaining() || Frames.crcOf(all, b.position(), length) != crc) {
                 break;
             }
             try {
@@ -103,20 +100,9 @@
         return out;
     }
 
-    private static int crcOf(byte[] bytes, int offset, int length) {
-        CRC32C c = new CRC32C();
-        c.update(bytes, offset, length);
-        return (int) c.getValue();
-    }
-
     /** A record as it stands in the file. */
     public static byte[] frame(Flag f) {
-        byte[] body = FlagCodec.encode(f);
-        if (body.length > MAX_RECORD) {
-            throw new IllegalArgumentException("record too large: " + body.length);
-        }
-        return ByteBuffer.allocate(HEAD + body.length).putInt(body.length).putInt(crcOf(body, 0, body.length))
-                .put(body).array();
+        return Frames.of(f);
     }
 
     /** Appends frames and syncs once. After a failure nothing of them counts. */
--- a/src/main/java/org/otterpond/logbook/SegmentLog.java
+++ b/src/main/java/org/otterpond/logbook/SegmentLog.java
@@ -13,7 +13,6 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
-import java.util.zip.CRC32C;
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.FlagCodec;
 import org.otterpond.signal.SignalException;
@@ -24,8 +23,6 @@
  * called on one thread.
  */
 public final class SegmentLog {
-    private static final int HEAD = 8;
-    private static final int MAX_RECORD = 48 << 20;
     private static final int READ_AT_ONCE = 64 * 1024;
     private static final String PREFIX = "seg-";
     private static final int PLACE_BITS = 32;
@@ -90,14 +87,14 @@
         long whole = 0;
         try (DataInputStream in = new DataInputStream(new BufferedInputStream(
                 Files.newInputStream(file(segment)), READ_AT_ONCE))) {
-            while (size - whole >= HEAD) {
+            while (size - whole >= Frames.HEAD) {
                 int length = in.readInt();
                 int crc = in.readInt();
-                if (length <= 0 || length > MAX_RECORD || length > size - whole - HEAD) {
+                if (length <= 0 || length > Frames.MAX_RECORD || length > size - whole - Frames.HEAD) {
                     break;
                 }
                 byte[] body = in.readNBytes(length);
-                if (body.length < length || crcOf(body, 0, length) != crc) {
+                if (body.length < length || Frames.crcOf(body, 0, length) != crc) {
                     break;
                 }
                 try {
@@ -105,18 +102,12 @@
                 } catch (SignalException e) {
                     break;
                 }
-                whole += HEAD + length;
+                whole += Frames.HEAD + length;
             }
         }
         return whole;
     }
 
-    private static int crcOf(byte[] bytes, int offset, int length) {
-        CRC32C c = new CRC32C();
-        c.update(bytes, offset, length);
-        return (int) c.getValue();
-    }
-
     /** How much the newest segment holds. */
     public long newestSize() {
         return segments.isEmpty() ? Long.MAX_VALUE : end;
@@ -168,12 +159,7 @@
 
     /** A record as it stands in a segment. */
     public static byte[] frame(Flag f) {
-        byte[] body = FlagCodec.encode(f);
-        if (body.length > MAX_RECORD) {
-            throw new IllegalArgumentException("record too large: " + body.length);
-        }
-        return ByteBuffer.allocate(HEAD + body.length).putInt(body.length).putInt(crcOf(body, 0, body.length))
-                .put(body).array();
+        return Frames.of(f);
     }
 
     private static long write(FileChannel c, long at, List<byte[]> frames) throws IOException {
@@ -230,23 +216,23 @@
         }
         long at = place - startOf(segmentOf(place));
         try {
-            ByteBuffer head = ByteBuffer.allocate(HEAD);
-            if (c.read(head, at) < HEAD) {
+            ByteBuffer head = ByteBuffer.allocate(Frames.HEAD);
+            if (c.read(head, at) < Frames.HEAD) {
                 return null;
             }
             head.flip();
             int length = head.getInt();
             int crc = head.getInt();
-            if (length <= 0 || length > MAX_RECORD) {
+            if (length <= 0 || length > Frames.MAX_RECORD) {
                 return null;
             }
             ByteBuffer body = ByteBuffer.allocate(length);
             while (body.hasRemaining()) {
-                if (c.read(body, at + HEAD + body.position()) < 0) {
+                if (c.read(body, at + Frames.HEAD + body.position()) < 0) {
                     return null;
                 }
             }
-            return crcOf(body.array(), 0, length) == crc ? FlagCodec.decode(body.array(), 0, length) : null;
+            return Frames.crcOf(body.array(), 0, length) == crc ? FlagCodec.decode(body.array(), 0, length) : null;
         } catch (IOException | SignalException e) {
             return null;
         }
--- a/src/main/java/org/otterpond/message/Depot.java
+++ b/src/main/java/org/otterpond/message/Depot.java
@@ -61,7 +61,8 @@
 
         Partition(int id) {
             this.id = id;
-            this.queue = new MessageQueue(this, disk, courier, cache, terms.endedKept());
+            this.queue = new MessageQueue(this, disk, courier, cache, terms.endedKept(),
+                    () -> serves(id));
             this.group = new ReplicaGroup(id, me, this, terms.times(), queue);
         }
 
--- a/src/main/java/org/otterpond/message/MessageQueue.java
+++ b/src/main/java/org/otterpond/message/MessageQueue.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.otterpond.replica.GroupHost;
 import org.otterpond.replica.StateMachine;
@@ -23,6 +24,7 @@
     private final GroupHost host;
     private final Records records;
     private final Courier courier;
+    private final BooleanSupplier leased;
     private final BodyCache cache;
     /** How long the state of a message that has ended is told, and a repeat of it answered. */
     private final long endedKept;
@@ -37,7 +39,9 @@
     private int queued;
     private int dead;
 
-    MessageQueue(GroupHost host, Records records, Courier courier, BodyCache cache, long endedKept) {
+    MessageQueue(GroupHost host, Records records, Courier courier, BodyCache cache, long endedKept,
+            BooleanSupplier leased) {
+        this.leased = leased;
         this.host = host;
         this.records = records;
         this.courier = courier;
@@ -219,8 +223,9 @@
         }
     }
 
+    /** Whether deliveries may be begun this moment: looked at anew each time, as a lease may have run out just now. */
     public boolean serving() {
-        return serving;
+        return serving && leased.getAsBoolean();
     }
 
     /** Reads the whole of a message, from memory or from the disk; null if it cannot be had. */
--- a/src/test/java/org/otterpond/sim/MessageFaultsTest.java
+++ b/src/test/java/org/otterpond/sim/MessageFaultsTest.java
@@ -168,6 +168,25 @@
         t.whole();
     }
 
+    /** A planned end: what the machine leads is handed over first, and what it has under way is finished. */
+    @ParameterizedTest
+    @ValueSource(longs = {35, 36})
+    void leavingMachineHandsOverAndNothingRunsAgain(long seed) {
+        Tier t = new Tier(seed, 6, 2);
+        t.checker.calm = true;
+        SimNode s = t.fleet.stores.get((int) (seed % 6));
+        for (int i = 0; i < 30 && !s.depot.handedOver(); i++) {
+            s.perform(s.depot::retire);
+            t.fleet.world.run(100_000);
+        }
+        assertTrue(s.depot.handedOver(), () -> t.fleet.tail());
+        t.fleet.world.run(200_000);
+        s.kill();
+        t.fleet.world.run(2 * S);
+        t.settle();
+        t.whole();
+    }
+
     @Test
     void tooFewLeftOrUnknownIsSaid() {
         Tier t = new Tier(41, 3, 2);
