--- a/src/main/java/org/otterpond/client/Client.java
+++ b/src/main/java/org/otterpond/client/Client.java
@@ -1,6 +1,7 @@
 package org.otterpond.client;
 
 import org.otterpond.chart.ChartException;
+import org.otterpond.drill.ScaleRun;
 import org.otterpond.drill.TrialWorker;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -11,7 +12,7 @@
                 + " 'rehearse' tries one alone on this machine; the commands below talk to running nodes.",
         footer = {"", "Exit codes: 0 done; 1 refused, or invalid; 2 wrong usage; 3 no clear answer."},
         subcommands = {ConfigCommand.class, StatusCommand.class, MessageCommand.class, RetireCommand.class,
-                TrialWorker.class})
+                TrialWorker.class, ScaleRun.class})
 public final class Client implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
