--- a/src/test/java/org/otterpond/keel/LoopbackNode.java
+++ b/src/test/java/org/otterpond/keel/LoopbackNode.java
@@ -12,26 +12,41 @@
     final int front = freePort();
     final int control = freePort();
     final Keel keel;
+    private final int internal = freePort();
 
     /** @param bounds fields of the settings' bounds, as JSON without braces */
     LoopbackNode(Path folder, String bounds, Runnable end) throws Exception {
-        int internal = freePort();
         Path file = folder.resolve("local.json");
         Files.writeString(file, "{\"node_name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"listen_points\":{"
                 + "\"front_plain\":\"127.0.0.1:" + front + "\",\"control_point\":\"127.0.0.1:" + control
                 + "\"},\"internal_port_range\":[" + internal + "," + internal + "],\"seed_peers\":[\"127.0.0.1:"
                 + control + "\"],\"initial_start\":true,\"data_dir\":\"" + folder.resolve("data")
                 + "\",\"bounds\":{" + bounds + "}}");
-        keel = new Keel(file, Settings.load(file), end);
+        keel = run(file, end);
+    }
+
+    private static Keel run(Path file, Runnable end) throws Exception {
+        Keel k = new Keel(file, Settings.load(file), end);
         Thread t = new Thread(() -> {
             try {
-                keel.run();
+                k.run();
             } catch (Exception e) {
                 throw new IllegalStateException(e);
             }
         });
         t.setDaemon(true);
         t.start();
+        return k;
+    }
+
+    /** A machine that stores messages, at another address of the loopback. */
+    Keel store(Path folder, String ip, String bounds, Runnable end) throws Exception {
+        Path file = folder.resolve("store-" + ip + ".json");
+        Files.writeString(file, "{\"node_name\":\"store-" + ip + "\",\"ip\":\"" + ip + "\",\"zone\":\"z\",\"serves\":"
+                + "[\"storage\"],\"deployment\":\"queue\",\"listen_points\":{},\"internal_port_range\":[" + internal + ","
+                + internal + "],\"seed_peers\":[\"127.0.0.1:" + control + "\"],\"initial_start\":true,\"data_dir\":\""
+                + folder.resolve("data-" + ip) + "\",\"limits\":{\"disk_mb\":64},\"bounds\":{" + bounds + "}}");
+        return run(file, end);
     }
 
     private static int freePort() throws IOException {
