--- a/src/main/java/org/otterpond/drill/ScaleRun.java
+++ b/src/main/java/org/otterpond/drill/ScaleRun.java
@@ -63,6 +63,7 @@
 
     private final List<Process> processes = new ArrayList<>();
     private final List<HollowNode> hollow = new ArrayList<>();
+    private final List<StandInWorker> granted = new ArrayList<>();
     private Quay quay;
 
     @Override
@@ -128,7 +129,7 @@
 
     private int measure() throws InterruptedException {
         System.out.printf(Locale.ROOT, "%6s %8s %9s %10s %10s %9s %10s %10s %10s %10s%n", "nodes", "workers", "claims/s",
-                "primary%", "others%", "peak MB", "node msg/s", "node B/s", "news ms", "granted");
+                "primary%", "others%", "peak MB", "node msg/s", "node B/s", "news ms", "grants/s");
         List<String> seeds = new ArrayList<>();
         for (int s = 1; s <= Math.min(3, core); s++) {
             seeds.add("127.0.1." + s + ":" + INTERNAL);
@@ -163,10 +164,10 @@
                 sum += c;
             }
             int n = hollow.size();
-            System.out.printf(Locale.ROOT, "%6d %8d %9.0f %10.2f %10.2f %9.0f %10.2f %10.0f %10.0f %10s%n", n, n * workers,
+            System.out.printf(Locale.ROOT, "%6d %8d %9.0f %10.2f %10.2f %9.0f %10.2f %10.0f %10.0f %10.0f%n", n, n * workers,
                     (after[2] - before[2]) / s, most, core > 1 ? (sum - most) / (core - 1) : 0, peak(),
                     (after[0] - before[0]) / s / n, (after[1] - before[1]) / s / n, slowest / 1000.0,
-                    divided ? "keys" : "-");
+                    (after[3] - before[3]) / s);
         }
         return 0;
     }
@@ -188,7 +189,7 @@
                         ids.add(id);
                         addresses.add(address);
                         if (divided) {
-                            new StandInWorker(quay, id, Links.address(address));
+                            granted.add(new StandInWorker(quay, id, Links.address(address)));
                         }
                     }
                     h.beats(ids, addresses, SERVICE, 1);
@@ -220,14 +221,15 @@
                 .with("text", Bale.pack(text)), 10_000_000, 1_000_000, r -> { });
     }
 
-    /** Messages both ways, bytes both ways, claims granted. */
+    /** Messages both ways, bytes both ways, claims granted, grants and renewals that workers answered. */
     private long[] totals() {
-        long[] t = new long[3];
+        long[] t = new long[4];
         for (HollowNode h : hollow) {
             t[0] += h.sentMessages + h.heardMessages;
             t[1] += h.sentBytes + h.heardBytes;
             t[2] += h.claimed;
         }
+        granted.forEach(w -> t[3] += w.served());
         return t;
     }
 
--- a/src/main/java/org/otterpond/drill/StandInWorker.java
+++ b/src/main/java/org/otterpond/drill/StandInWorker.java
@@ -19,6 +19,11 @@
         new FrontDoor(quay, this, at, 200, 16L << 20);
     }
 
+    /** Calls answered so far, grants among them. */
+    long served() {
+        return served;
+    }
+
     @Override
     public void handle(Call call) {
         Missive r = call.request();
