--- a/src/main/java/org/otterpond/replica/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replica/ReplicaGroup.java
@@ -45,6 +45,8 @@
     private boolean broken;
     private long ownProgressAt;
     private boolean handingOver;
+    /** Has proposed another in its place: whether that is in force it may hear late, so it serves no more until it does. */
+    private boolean aside;
     private long adoptedAt;
     private final Map<String, Follower> followers = new HashMap<>();
     private final Map<Long, Runnable> waiting = new HashMap<>();
@@ -58,6 +60,7 @@
     private long transfer;
     private String source;
     private boolean copyKept;
+    private long piecesTaken;
 
     private record Update(Flag entry, boolean needsCopies, Runnable committed, Runnable refused) {}
 
@@ -123,7 +126,7 @@
 
     /** Whether queries and updates may be served: named primary, reconciled, every secondary's lease live. */
     public boolean serving() {
-        return primary() && whole && reconciled && !handingOver && leased();
+        return primary() && whole && reconciled && !handingOver && !aside && leased();
     }
 
     private boolean leased() {
@@ -161,6 +164,7 @@
         view = v;
         deposing = false;
         handingOver = false;
+        aside = false;
         revived = false;
         adoptedAt = host.now();
         beaconAt = host.now();
@@ -286,7 +290,7 @@
     }
 
     private void admit() {
-        if (parked.isEmpty() || !(primary() && whole && reconciled && leased())) {
+        if (parked.isEmpty() || aside || !(primary() && whole && reconciled && leased())) {
             return;
         }
         boolean copies = enoughCopies();
@@ -432,8 +436,10 @@
         if (list.durable() >= list.last()) {
             ownProgressAt = now;
         }
-        if (broken || now - ownProgressAt > times.stall()) {
+        if (broken || aside || now - ownProgressAt > times.stall()) {
             if (!view.secondaries().isEmpty()) {
+                aside = true;
+                tellServing();
                 String next = view.secondaries().get(0);
                 propose(view.next(next, view.secondaries().stream().filter(s -> !s.equals(next)).toList()));
             }
@@ -598,6 +604,7 @@
         ship(member, f);
         List<Flag> pieces = new ArrayList<>();
         int[] bytes = {0};
+        long[] number = {0};
         machine.export(piece -> {
             if (followers.get(member) != f || !primary()) {
                 return;
@@ -610,7 +617,7 @@
             if (piece == null || bytes[0] > PIECES_BYTES) {
                 f.progressAt = host.now();
                 host.send(member, new Flag("g.pieces").with("group", id).with("transfer", t)
-                        .with("whole", piece == null ? true : null).withFlags("pieces", pieces));
+                        .with("number", number[0]++).with("whole", piece == null ? true : null).withFlags("pieces", pieces));
                 pieces.clear();
                 bytes[0] = 0;
             }
@@ -780,6 +787,7 @@
         transfer = f.number("transfer");
         whole = false;
         copyKept = false;
+        piecesTaken = 0;
         broken = false;
         machine.clear();
         list.reset(f.number("point"));
@@ -787,9 +795,11 @@
     }
 
     private void onPieces(String from, Flag f) {
-        if (source == null || transfer != f.number("transfer") || whole || !GroupView.addressOf(source).equals(from)) {
+        // One that is missing was lost with its connection: without it the copy is none, and the transfer fails.
+        if (source == null || transfer != f.number("transfer") || whole || f.number("number") != piecesTaken || !GroupView.addressOf(source).equals(from)) {
             return;
         }
+        piecesTaken++;
         List<Flag> pieces = f.flags("pieces");
         for (Flag p : pieces) {
             host.journal(new Flag("piece").with("group", id).with("piece", p), place -> {
