--- a/src/test/java/org/otterpond/sim/ReplicaGroupTest.java
+++ b/src/test/java/org/otterpond/sim/ReplicaGroupTest.java
@@ -81,6 +81,12 @@
         assertTrue(noticed(g -> g.managerTakesAnyVersion = true) > 0);
     }
 
+    /** A primary that wakes with old acknowledgements in hand must not take them for new. */
+    @Test
+    void leaseCountedFromTheAnswerIsNoticed() {
+        assertTrue(noticed(g -> g.leaseFromTheAnswer = true) > 0);
+    }
+
     @Test
     void disksThatAnswerBeforeTheyHaveWrittenAreNoticed() {
         SimGroup g = new SimGroup(301, 3);
