Key keeper takes its ranges as written at every epoch it begins

A range stayed 'releasing' for good after an epoch that this node led twice in a row: the write that it waited for was given up with the epoch between, and its lease was kept as if that were still on its way.

--- a/src/main/java/org/otterpond/keys/KeyKeeper.java
+++ b/src/main/java/org/otterpond/keys/KeyKeeper.java
@@ -44,18 +44,22 @@
         this.balancer = new Balancer(host, this);
     }
 
-    /** This node leads now; what it knew is kept only if nobody else can have led between. */
+    /**
+     * This node leads now. The ranges are taken as written, as a successor does, whoever led before: what this node itself
+     * was about to write when an epoch ended may be lost without a word. Only the heat stays, if nobody led between.
+     */
     public void began(List<Flag> written, boolean continued) {
-        if (continued) {
-            return;
-        }
         services.clear();
-        heat.clear();
+        if (!continued) {
+            heat.clear();
+        }
         seen.clear();
         long until = Math.max(host.now(), host.successorFrom()) + terms.longestOfAnother();
         for (Flag f : written) {
             Lease l = new Lease(KeyRange.of(f));
             l.heldUntil = until;
+            // A call of this node's own time before may be open still.
+            l.lostAt = host.now() + HoldTerms.GRANT_CALL;
             // Spread, so that not all are renewed in one moment.
             l.renewAt = host.now() + host.random(4 * STEP);
             ranges(l.service).put(l.from, l);
