--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -861,6 +861,11 @@
             otherwise.run();
             return;
         }
+        retry(p, otherwise);
+    }
+
+    /** Sends it once more, on another token of the quota if the one before was used. */
+    private void retry(Passage p, Runnable otherwise) {
         tally.retries.increment();
         if (p.counted() && !p.paid) {
             pay(p, () -> dispatch(p), over -> otherwise.run());
@@ -884,12 +889,7 @@
                 otherwise.run();
                 return;
             }
-            tally.retries.increment();
-            if (p.counted() && !p.paid) {
-                pay(p, () -> dispatch(p), over -> otherwise.run());
-            } else {
-                dispatch(p);
-            }
+            retry(p, otherwise);
         });
     }
 
--- a/src/main/java/org/otterpond/message/MessageQueue.java
+++ b/src/main/java/org/otterpond/message/MessageQueue.java
@@ -358,8 +358,4 @@
         }
         return out;
     }
-
-    List<Message> endedOnes() {
-        return new ArrayList<>(ended);
-    }
 }
