Simulator's classes stand in the program, not among the tests

Cause: only JUnit could start a simulation, and none but fixed seeds were ever played. Moved as they were, package and names unchanged; the seed goes to the log in place of standard output. All assertions stay in the test files.

--- a/src/test/java/org/otterpond/sim/SimWorld.java
+++ b/src/main/java/org/otterpond/sim/SimWorld.java
@@ -12,9 +12,13 @@
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.FlagCodec;
 import org.otterpond.signal.SignalException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Simulated time and network. Everything that happens is an event in one queue; one seed decides it all. */
 final class SimWorld {
+    private static final Logger LOG = LoggerFactory.getLogger(SimWorld.class);
+
     private record Event(long at, long number, Runnable task) implements Comparable<Event> {
         @Override
         public int compareTo(Event o) {
@@ -37,7 +41,7 @@
 
     SimWorld(long seed) {
         random = new Random(seed);
-        System.out.println("simulation seed=" + seed);
+        LOG.info("event=simulation_began seed={}", seed);
     }
 
     long now() {
