Simulated links hold, narrow, part one way and reset; a process wakes sockets or timers first

Cause: cuts lost everything, so nothing ever came late; every process woke in the order of arrival; all machines stood in one zone. A link that holds keeps what is sent, as TCP does, and after the cut a part of it arrives late in its connection's order beside what newer connections bring.

--- a/src/main/java/org/otterpond/sim/SimNode.java
+++ b/src/main/java/org/otterpond/sim/SimNode.java
@@ -1,18 +1,16 @@
 package org.otterpond.sim;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.otterpond.chart.Configuration;
 import org.otterpond.harbour.Deck;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.HarbourTerms;
 import org.otterpond.harbour.NodeIdentity;
-import org.otterpond.harbour.Shore;
 import org.otterpond.harbour.Vessel;
-import org.otterpond.keys.KeeperHost;
 import org.otterpond.keys.RangeTable;
 import org.otterpond.message.Depot;
 import org.otterpond.message.StoreTerms;
@@ -25,6 +23,9 @@
     private final SimWorld world;
     private final Checker checker;
     final String address;
+    String zone = "z";
+    /** Decides only how far away others are. */
+    String region = "r";
     final SimDisk disk;
     private final List<String> seeds;
     private final int faults;
@@ -33,6 +34,8 @@
     HarbourNode node;
     final Map<String, Vessel> workers = new HashMap<>();
     Configuration configuration;
+    /** Told of every configuration that comes into force here. */
+    Consumer<Configuration> onConfigured = c -> { };
     /** What this machine stores of messages, if it is one that does. */
     SimStoreDisk storeDisk;
     Depot depot;
@@ -43,7 +46,7 @@
     final Map<Integer, GroupView> partitions = new HashMap<>();
     private boolean frozen;
     private boolean dark;
-    private final List<Runnable> frozenTasks = new ArrayList<>();
+    private final FrozenTasks frozenTasks = new FrozenTasks();
 
     SimNode(SimWorld world, Checker checker, String address, boolean withDisk, List<String> seeds, int faults) {
         this.faults = faults;
@@ -64,9 +67,14 @@
     }
 
     void peerLost(String address) {
+        peerLost(address, true);
+    }
+
+    /** A connection to another node never came up, or was closed from there. */
+    void peerLost(String address, boolean neverUp) {
         if (node != null) {
             SimDeck d = deck;
-            d.perform(() -> node.peerLost(address, true));
+            d.perform(address, () -> node.peerLost(address, neverUp));
         }
     }
 
@@ -90,8 +98,8 @@
         long life = world.random.nextLong() >>> 1;
         boolean blank = disk != null && disk.blank();
         checker.started(address, life);
-        node = new HarbourNode(deck, new NodeIdentity(address, address, "z", disk == null ? null : disk.id, blank,
-                firstStart, seeds, life, storeDisk == null ? null : storeDisk.id), new SimShore(life),
+        node = new HarbourNode(deck, new NodeIdentity(address, address, zone, disk == null ? null : disk.id, blank,
+                firstStart, seeds, life, storeDisk == null ? null : storeDisk.id), new SimShore(this, checker, life, deck::perform),
                 new HarbourTerms(1_500_000, Checker.WINDOW, faults, SimFleet.QUOTA));
         if (disk != null && !blank) {
             node.replay(disk.read());
@@ -151,11 +159,16 @@
         frozen = node != null;
     }
 
+    /** Wakes the process, which finds everything in the order in which it came. */
     void thaw() {
         frozen = false;
-        List<Runnable> tasks = new ArrayList<>(frozenTasks);
-        frozenTasks.clear();
-        tasks.forEach(Runnable::run);
+        frozenTasks.inOrder().forEach(Runnable::run);
+    }
+
+    /** Wakes the process, which reads its sockets before it looks at its timers, or the other way round. */
+    void thaw(boolean socketsFirst, Random random) {
+        frozen = false;
+        frozenTasks.apart(socketsFirst, random).forEach(Runnable::run);
     }
 
     /** Does something on the node's own thread: later, if it is frozen. */
@@ -170,85 +183,23 @@
             return;
         }
         SimDeck d = deck;
-        d.perform(() -> node.onMessage(from, f));
-    }
-
-    private final class SimShore implements Shore {
-        private final long life;
-
-        SimShore(long life) {
-            this.life = life;
-        }
-
-        @Override
-        public void configured(Configuration c) {
-            checker.inForce(address, life, c.revision());
-            configuration = c;
-        }
-
-        @Override
-        public void worker(Vessel v) {
-            workers.put(v.id(), v);
-        }
-
-        @Override
-        public void fleet(Map<String, Integer> nodesInZone, int rank) {
-            // Only the data path uses it.
-        }
-
-        @Override
-        public void assigned(Flag entry) {
-            ranges.take(entry);
-            if (entry.text("key").startsWith("partition:")) {
-                GroupView v = GroupView.of(entry);
-                partitions.put(v.group(), v);
-            }
-            if (depot != null) {
-                depot.assigned(entry);
-            }
-        }
-
-        @Override
-        public void message(String from, Flag f, Consumer<Flag> reply) {
-            if (depot != null) {
-                depot.message(from, f, reply);
-            }
-        }
-
-        @Override
-        public void peerLost(String other) {
-            if (depot != null) {
-                depot.peerLost(other);
-            }
-        }
-
-        @Override
-        public void callWorker(String to, String instance, String path, String body, long timeout,
-                Consumer<KeeperHost.Answer> answer) {
-            SimDeck d = deck;
-            keyWorkers.call(address, to, path, body, timeout, a -> d.perform(() -> answer.accept(a)));
-        }
-
-        @Override
-        public List<Flag> heat() {
-            return keyWorkers == null ? List.of() : keyWorkers.heat(address);
-        }
-
-        @Override
-        public Flag outcome(String key, String token) {
-            return null;
-        }
+        d.perform(from, () -> node.onMessage(from, f));
     }
 
     private final class SimDeck implements Deck {
         private boolean alive = true;
 
         private void perform(Runnable task) {
+            perform(null, task);
+        }
+
+        /** What came on a connection, or, where that is null, of the process's own. */
+        private void perform(String connection, Runnable task) {
             if (!alive) {
                 return;
             }
             if (frozen) {
-                frozenTasks.add(() -> perform(task));
+                frozenTasks.add(connection, () -> perform(connection, task));
             } else {
                 task.run();
                 if (node != null && alive && node.leading()) {
--- a/src/main/java/org/otterpond/sim/SimWorld.java
+++ b/src/main/java/org/otterpond/sim/SimWorld.java
@@ -19,6 +19,9 @@
 final class SimWorld {
     private static final Logger LOG = LoggerFactory.getLogger(SimWorld.class);
 
+    private static final long OTHER_ZONE = 500;
+    private static final long OTHER_REGION = 20_000;
+
     private record Event(long at, long number, Runnable task) implements Comparable<Event> {
         @Override
         public int compareTo(Event o) {
@@ -32,7 +35,8 @@
     final List<String> log = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Set<String> cuts = new HashSet<>();
-    private final Map<String, Long> lastDelivery = new HashMap<>();
+    private final Map<String, SimLink> links = new HashMap<>();
+    private final Map<String, Long> widths = new HashMap<>();
     private long now = 1_000_000;
     private long number;
     double loss;
@@ -80,30 +84,111 @@
         cuts.clear();
     }
 
+    void cutOneWay(String from, String to) {
+        cuts.add(from + ">" + to);
+    }
+
+    void healOneWay(String from, String to) {
+        cuts.remove(from + ">" + to);
+    }
+
+    /** From now on what goes that way is kept, as TCP keeps what is not acknowledged. */
+    void hold(String from, String to) {
+        link(from, to).hold(now);
+    }
+
+    /** Ends the holding: of what was kept a part arrives late, or the connection turns out to be reset. */
+    void release(String from, String to, Random chance) {
+        SimLink link = link(from, to);
+        for (SimLink.Late l : link.release(now, chance)) {
+            long n = link.nextNumber();
+            at(l.delay(), () -> arrive(from, to, link, n, l.bytes()));
+        }
+        if (link.wasReset()) {
+            closed(from, to);
+            closed(to, from);
+        }
+    }
+
+    /** How many bytes a second the machine's links carry; 0, as from the start, has no bound. */
+    void width(String address, long bytesPerSecond) {
+        widths.put(address, bytesPerSecond);
+    }
+
+    /** The process has ended while its machine runs: those who talked to it find their connections closed. */
+    void processEnded(String address) {
+        for (String other : nodes.keySet()) {
+            if (!other.equals(address) && (links.containsKey(other + ">" + address)
+                    || links.containsKey(address + ">" + other))) {
+                closed(address, other);
+            }
+        }
+    }
+
+    private void closed(String from, String to) {
+        at(200 + random.nextInt(800), () -> {
+            SimNode n = nodes.get(to);
+            if (n != null && !cuts.contains(from + ">" + to) && !link(from, to).holding()) {
+                n.peerLost(from, false);
+            }
+        });
+    }
+
+    private SimLink link(String from, String to) {
+        return links.computeIfAbsent(from + ">" + to, w -> new SimLink());
+    }
+
+    private long width(String from, String to) {
+        long a = widths.getOrDefault(from, 0L);
+        long b = widths.getOrDefault(to, 0L);
+        return a == 0 || b == 0 ? Math.max(a, b) : Math.min(a, b);
+    }
+
+    private long distance(String from, String to) {
+        SimNode a = nodes.get(from);
+        SimNode b = nodes.get(to);
+        if (a == null || b == null || a.region.equals(b.region) && a.zone.equals(b.zone)) {
+            return 0;
+        }
+        return a.region.equals(b.region) ? OTHER_ZONE : OTHER_REGION;
+    }
+
     void send(String from, String to, Flag f) {
         byte[] bytes = FlagCodec.encode(f);
         count(from, bytes.length);
         count(to, bytes.length);
-        long at = now + 200 + random.nextInt(800);
+        long latency = 200 + random.nextInt(800) + distance(from, to);
         String way = from + ">" + to;
+        SimLink link = link(from, to);
         // One connection: messages keep their order.
-        at = Math.max(at, lastDelivery.getOrDefault(way, 0L) + 1);
-        lastDelivery.put(way, at);
+        long at = link.arrival(now, bytes.length, latency, width(from, to));
         if (cuts.contains(way) || random.nextDouble() < loss) {
             return;
         }
-        at(at - now, () -> {
-            SimNode n = nodes.get(to);
-            if (n != null && !cuts.contains(way) && n.refuses()) {
-                nodes.get(from).peerLost(to);
-            } else if (n != null && !cuts.contains(way)) {
-                try {
-                    n.deliver(from, FlagCodec.decode(bytes, 0, bytes.length));
-                } catch (SignalException e) {
-                    throw new IllegalStateException(e);
-                }
+        long n = link.nextNumber();
+        if (link.holding()) {
+            link.keep(n, bytes, now);
+        } else {
+            at(at - now, () -> arrive(from, to, link, n, bytes));
+        }
+    }
+
+    private void arrive(String from, String to, SimLink link, long n, byte[] bytes) {
+        SimNode node = nodes.get(to);
+        if (node == null || cuts.contains(from + ">" + to)) {
+            return;
+        }
+        if (link.holding()) {
+            link.keep(n, bytes, now);
+        } else if (node.refuses()) {
+            nodes.get(from).peerLost(to);
+        } else {
+            try {
+                node.deliver(from, FlagCodec.decode(bytes, 0, bytes.length));
+            } catch (SignalException e) {
+                throw new IllegalStateException(e);
             }
-        });
+        }
     }
 
     private void count(String node, int bytes) {
