--- a/src/main/java/org/otterpond/chart/Settings.java
+++ b/src/main/java/org/otterpond/chart/Settings.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** What one process is told by its settings file, checked. */
 public record Settings(String nodeName, String ip, String zone, String frontPoint, String readinessPoint,
@@ -18,7 +20,7 @@
         String logLevel, boolean ejectSlow, int faults, boolean revocationGlobal, long revokeMicros,
         long quotaWindowMicros, double quotaExcess, double quotaSlack, String deployment, boolean storage,
         long statusMicros, long ceilingWindowMicros, double ceilingExcess, int diskMb, long holdMicros,
-        long thawMicros, int zoneFaults) {
+        long thawMicros, int zoneFaults, int regionFaults, Map<String, String> regionOf) {
     private static final Set<String> DEPLOYMENTS = Set.of("gateway", "queue");
 
     public static Settings load(Path file) throws ChartException {
@@ -75,7 +77,22 @@
                 (long) (1_000_000 * b.real("ceiling_window_s", 0.1, 5)), b.real("ceiling_excess", 1, 1.1),
                 (int) l.whole("disk_mb", 0, 1 << 24, 256), 1000 * b.whole("max_hold_ms", 100, 3_600_000, 10_000),
                 1000 * b.whole("thaw_slack_ms", 0, 3_600_000, 300),
-                (int) t.whole("zones", 0, 100, 0));
+                (int) t.whole("zones", 0, 100, 0), (int) t.whole("regions", 0, 100, 0), regions(f, o));
+    }
+
+    /** The region of each zone that the file names, the own one at least. */
+    private static Map<String, String> regions(Fields f, JsonObject o) throws ChartException {
+        Map<String, String> out = new TreeMap<>();
+        if (f.has("region")) {
+            out.put(f.text("zone", "-"), f.text("region"));
+        }
+        if (f.has("zones")) {
+            Fields zones = f.object("zones");
+            for (String zone : o.getAsJsonObject("zones").keySet()) {
+                out.put(zone, zones.text(zone));
+            }
+        }
+        return Map.copyOf(out);
     }
 
     private static String deployment(Fields f) throws ChartException {
--- a/src/main/java/org/otterpond/harbour/Founding.java
+++ b/src/main/java/org/otterpond/harbour/Founding.java
@@ -1,6 +1,7 @@
 package org.otterpond.harbour;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,7 +17,7 @@
     private final String self;
     private final List<String> seeds;
     private final int rank;
-    private final int faults;
+    private final LossTolerance losses;
     private final boolean votes;
     private final long startedAt;
 
@@ -36,9 +37,10 @@
 
     private EpochRecord decided;
 
-    public Founding(Deck deck, String self, List<String> seeds, boolean firstLife, int faults) {
+    public Founding(Deck deck, String self, List<String> seeds, boolean firstLife,
+            LossTolerance losses) {
         this.deck = deck;
-        this.faults = faults;
+        this.losses = losses;
         this.self = self;
         this.seeds = seeds;
         this.rank = seeds.indexOf(self);
@@ -153,11 +155,12 @@
         if (best != null) {
             return EpochRecord.of(best.flag("value"));
         }
-        List<Berth> members = new ArrayList<>(blanks.values());
-        members.sort((a, b) -> a.address().compareTo(b.address()));
+        List<Berth> disks = new ArrayList<>(blanks.values());
+        disks.sort(Comparator.comparing(Berth::address));
+        List<Berth> members = losses.members(disks);
+        List<Berth> backups = losses.backups(members.get(0), members.subList(1, members.size()),
+                Comparator.comparing(members::indexOf), losses.copies());
         String fleet = Long.toHexString(deck.random(Long.MAX_VALUE));
-        return new EpochRecord(fleet, 1, members.get(0),
-                List.copyOf(members.subList(1, 1 + Math.min(faults, members.size() - 1))), List.copyOf(members),
-                members.size());
+        return new EpochRecord(fleet, 1, members.get(0), backups, members, members.size());
     }
 }
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -90,12 +90,12 @@
         this.askNumber = me.life() & 0xffff_ffff_0000L;
         this.stores = new Stores(deck, this, terms.quota().lentMicros() - HarbourTerms.LENT_MARGIN);
         this.founding = new Founding(deck, me.address(), me.seeds(), me.firstLife(),
-                terms.faults());
+                terms.losses());
         if (me.diskId() != null) {
             Berth berth = new Berth(me.diskId(), me.address(), me.name(), me.zone());
             // The margin covers the longest time between a claim and the sending of what it allows.
             Hold hold = new Hold(terms.keyWindowMicros() + 10_000_000);
-            this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold, terms.faults());
+            this.watch = new Watch(deck, WatchTimes.standard(), this, berth, hold, terms.losses());
             this.helm = new Helm(deck, watch, berth, shore, terms);
         } else {
             this.watch = null;
@@ -646,4 +646,9 @@
             watch.retire();
         }
     }
+
+    /** Whether the core still counts on what this node holds, so that it should not end yet. */
+    public boolean needed() {
+        return watch != null && watch.needed();
+    }
 }
--- a/src/main/java/org/otterpond/harbour/HarbourTerms.java
+++ b/src/main/java/org/otterpond/harbour/HarbourTerms.java
@@ -5,14 +5,18 @@
 /**
  * What the deployment demands of the control side.
  *
- * @param faults how many disks may be lost at once
- * @param zoneFaults how many zones
+ * @param losses what may be lost at once
  */
-public record HarbourTerms(long heartbeatMicros, long keyWindowMicros, int faults, QuotaTerms quota, HoldTerms hold,
-        int zoneFaults) {
+public record HarbourTerms(long heartbeatMicros, long keyWindowMicros, LossTolerance losses, QuotaTerms quota,
+        HoldTerms hold) {
     /** Where no service is divided by keys. */
-    public HarbourTerms(long heartbeatMicros, long keyWindowMicros, int faults, QuotaTerms quota) {
-        this(heartbeatMicros, keyWindowMicros, faults, quota, HoldTerms.of(10_000_000, 300_000), 0);
+    public HarbourTerms(long heartbeatMicros, long keyWindowMicros, LossTolerance losses, QuotaTerms quota) {
+        this(heartbeatMicros, keyWindowMicros, losses, quota, HoldTerms.of(10_000_000, 300_000));
+    }
+
+    /** Where machines may be lost and no more of a zone than of any place. */
+    public HarbourTerms(long heartbeatMicros, long keyWindowMicros, int machines, QuotaTerms quota) {
+        this(heartbeatMicros, keyWindowMicros, LossTolerance.ofMachines(machines), quota);
     }
 
     /** Tokens are used for a little less long than the owner counts them as out. */
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -34,8 +34,6 @@
     private static final long DOUBTFUL = 500_000;
     private static final long EMPTY_AT_FIRST = 1_000_000;
     private static final long MEMBER_DEAD = 1_500_000;
-    private static final long MEMBER_DROP = 6_000_000;
-    private static final int MOST_MEMBERS = 9;
 
     private final Deck deck;
     private final Watch watch;
@@ -52,6 +50,7 @@
     private byte[] packedAssignments;
     private long packedAssignmentNumber = -1;
     private final Placement placement;
+    private final Membership membership;
     private final KeyKeeper keeper;
 
     private PendingWrite writing;
@@ -60,7 +59,6 @@
     private long nodesVersion;
     private FleetPlan plan;
     private FleetPlan storePlan;
-    private long membersTriedAt;
     private long beganAt;
     /** Names this node's unbroken time as primary; running totals of lent tokens belong to one term. */
     private long term;
@@ -102,7 +100,8 @@
         this.self = self;
         this.register = new Register(terms.heartbeatMicros());
         this.chandlery = new Chandlery(terms.quota());
-        this.placement = new Placement(deck, terms.faults(), terms.zoneFaults(), this::assign);
+        this.placement = new Placement(deck, terms.losses().machines(), terms.losses().zones(), this::assign);
+        this.membership = new Membership(deck, watch, terms.losses());
         this.keeper = new KeyKeeper(new KeeperDeck(deck, shore, watch, register, this::assign), terms.hold());
     }
 
@@ -353,7 +352,7 @@
             newsDue();
         }
         checkDrains();
-        membership(now);
+        membership.tick(newcomers(now));
         keeper.tick();
         placement.tick(now, stores(), watch.hold().assignments());
         if (now - chandleryTicked > 1_000_000) {
@@ -362,61 +361,17 @@
         }
     }
 
-    /** Takes in new disks and puts out dead members, one at a time. */
-    private void membership(long now) {
-        if (now - membersTriedAt < 500_000) {
-            return;
-        }
-        EpochRecord r = watch.record();
-        Berth dead = null;
-        Berth newcomer = null;
+    /** The machines with a disk that hold a lease and are no members of the core. */
+    private List<Membership.Newcomer> newcomers(long now) {
+        List<Membership.Newcomer> out = new ArrayList<>();
         for (Lease l : leases.values()) {
             String id = l.poll.text("disk");
-            if (id == null || r.hasMember(id) || now - l.at > LEASE / 2) {
-                continue;
-            }
-            Berth b = new Berth(id, l.poll.text("addr"), l.poll.text("name"), l.poll.text("zone"));
-            for (Berth m : r.members()) {
-                if (m.address().equals(b.address())) {
-                    dead = m;
-                    newcomer = b;
-                }
-            }
-            if (newcomer == null && now - l.firstSeen > 500_000) {
-                newcomer = b;
+            if (id != null && !watch.record().hasMember(id) && now - l.at <= LEASE / 2) {
+                out.add(new Membership.Newcomer(new Berth(id, l.poll.text("addr"), l.poll.text("name"),
+                        l.poll.text("zone")), l.firstSeen));
             }
         }
-        boolean shrink = false;
-        if (dead == null) {
-            for (Berth m : r.members()) {
-                if (m.diskId().equals(self.diskId())) {
-                    continue;
-                }
-                if (newcomer != null && watch.silent(m, MEMBER_DEAD)) {
-                    dead = m;
-                } else if (newcomer == null && r.members().size() > r.target() && watch.silent(m, MEMBER_DROP)) {
-                    dead = m;
-                    shrink = true;
-                }
-            }
-        }
-        if (newcomer == null && !shrink) {
-            return;
-        }
-        List<Berth> members = new ArrayList<>(r.members());
-        if (dead != null) {
-            members.remove(dead);
-        }
-        if (newcomer != null) {
-            if (members.size() >= MOST_MEMBERS) {
-                return;
-            }
-            members.add(newcomer);
-        }
-        membersTriedAt = now;
-        deck.event("event=core_change in=" + (newcomer == null ? "none" : newcomer.name()) + " out="
-                + (dead == null ? "none" : dead.name()));
-        watch.changeMembers(List.copyOf(members));
+        return out;
     }
 
     // ------------------------------------------------------------------- ops
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -21,14 +21,21 @@
  */
 public final class Watch {
     private static final int EPOCH_STEP = 64;
+    /** So long a member whose disk or answers are doubtful is a backup only if there is no other. */
+    private static final long DOUBTED = 3_000_000;
+    /** A newcomer that has not answered by then is left out, lest the old members wait for it. */
+    private static final long NEWCOMER_WAIT = 300_000;
+    /** A leaver that is still in the group takes up the duty that much later than others. */
+    private static final long LEAVER_LATER = 1_000_000;
+    private static final long REFORM_PAUSE = 1_000_000;
+    private static final int MOST_REFORM_PAUSES = 32;
 
     private final Deck deck;
     private final WatchTimes times;
     private final WatchListener listener;
     private final Berth self;
     private final Hold hold;
-    /** How many disks may be lost at once, which is how many backups an epoch has. */
-    private final int faults;
+    private final LossTolerance losses;
 
     // Durable, as in the journal.
     private long promised;
@@ -72,9 +79,17 @@
     private Candidacy candidacy;
     private long nextRun;
     private long lastGossip;
-    private final Set<String> excluded = new HashSet<>();
+    /** Until when each member is taken as a backup only if there is no other. */
+    private final Map<String, Long> excluded = new HashMap<>();
+    /** Members that said that they are about to end, and have not come back since. */
+    private final Set<String> leavers = new HashSet<>();
+    private long reformFrom;
+    private int reformPauses = 1;
     private boolean diskBad;
     private boolean retired;
+    private long lastNotice = Long.MIN_VALUE / 2;
+    /** The epoch whose duty this process gave up. */
+    private long resigned = -1;
     private long oldestPendingWrite;
     private int pendingWrites;
 
@@ -112,8 +127,9 @@
         final Set<String> accepts = new HashSet<>();
     }
 
-    public Watch(Deck deck, WatchTimes times, WatchListener listener, Berth self, Hold hold, int faults) {
-        this.faults = faults;
+    public Watch(Deck deck, WatchTimes times, WatchListener listener, Berth self, Hold hold,
+            LossTolerance losses) {
+        this.losses = losses;
         this.deck = deck;
         this.times = times;
         this.listener = listener;
@@ -253,10 +269,12 @@
             if (now - candidacy.startedAt > times.phase()) {
                 abandon("timeout");
             } else if (!candidacy.copying) {
+                leaveOutNewcomers(candidacy, now);
                 askPromises(candidacy, candidacy.base);
             }
             return;
         }
+        tickLeaving(now);
         if (leading()) {
             tickPrimary(now);
             return;
@@ -265,12 +283,13 @@
             lastGossip = now;
             tellMembers(new Flag("rec").with("record", known.toFlag()));
         }
-        if (diskBad || retired || !known.inGroup(self.diskId()) || now < nextRun) {
+        if (diskBad || !known.inGroup(self.diskId()) || now < nextRun) {
             return;
         }
         boolean namedPrimary = known.primary().diskId().equals(self.diskId());
         // The backups take their turns, so that they do not outbid each other.
-        long patience = times.primarySilence() + Math.max(0, known.rankOf(self.diskId())) * times.rankStep();
+        long patience = times.primarySilence() + Math.max(0, known.rankOf(self.diskId())) * times.rankStep()
+                + (retired ? LEAVER_LATER : 0);
         if (leading || namedPrimary || now - primaryHeard > patience) {
             run(known.members());
         }
@@ -293,7 +312,7 @@
             if (stuck || now - backupHeard.getOrDefault(b.diskId(), 0L) > times.backupSilence()) {
                 deck.event("event=backup_lost epoch=" + record.epoch() + " backup=" + b.name()
                         + " why=" + (stuck ? "no_sync" : "silence"));
-                excluded.add(b.diskId());
+                exclude(b.diskId());
                 lost = true;
             }
         }
@@ -301,6 +320,9 @@
             run(record.members());
             return;
         }
+        if (reform(now)) {
+            return;
+        }
         for (Map.Entry<Long, Batch> e : batches.entrySet()) {
             Batch b = e.getValue();
             if (b.at.size() < record.backups().size() && now - b.sentAt > times.resend()) {
@@ -313,6 +335,75 @@
         }
     }
 
+    private void exclude(String diskId) {
+        excluded.put(diskId, deck.now() + DOUBTED);
+    }
+
+    private boolean excluded(Berth m) {
+        return excluded.getOrDefault(m.diskId(), Long.MIN_VALUE) > deck.now();
+    }
+
+    /** Whether the member said that it is about to end. */
+    public boolean leaving(Berth m) {
+        return leavers.contains(m.diskId());
+    }
+
+    private void heardOf(String diskId, boolean leaves) {
+        if (leaves) {
+            leavers.add(diskId);
+        } else {
+            leavers.remove(diskId);
+        }
+    }
+
+    /**
+     * Begins another epoch if the members in touch make a better group: one with fewer leavers in it, or one that a
+     * loss to be borne does not take whole. If that comes to nothing the next try waits, each time for longer.
+     */
+    private boolean reform(long now) {
+        List<Berth> there = record.members().stream().filter(m -> !m.diskId().equals(self.diskId())
+                && !silent(m, times.backupSilence())).toList();
+        int have = record.backups().size();
+        List<Berth> better = backupsOf(there, record, Math.min(losses.copies(), record.members().size() - 1));
+        long leave = record.backups().stream().filter(this::leaving).count();
+        long wouldLeave = better.stream().filter(this::leaving).count();
+        boolean wanted = better.size() > have || better.size() == have && (wouldLeave < leave
+                || wouldLeave == leave && losses.spread(groupOf(better)) > losses.spread(groupOf(record.backups())));
+        if (!wanted) {
+            if (now > reformFrom + REFORM_PAUSE * reformPauses) {
+                reformPauses = 1;
+            }
+            return false;
+        }
+        if (now < reformFrom) {
+            return false;
+        }
+        reformFrom = now + REFORM_PAUSE * reformPauses;
+        reformPauses = Math.min(MOST_REFORM_PAUSES, 2 * reformPauses);
+        deck.event("event=group_reformed epoch=" + record.epoch() + " leaving=" + leave + " backups="
+                + String.join(",", better.stream().map(Berth::name).toList()));
+        run(record.members());
+        return true;
+    }
+
+    private List<Berth> groupOf(List<Berth> backups) {
+        List<Berth> group = new ArrayList<>(backups);
+        group.add(self);
+        return group;
+    }
+
+    /**
+     * Those that leave last and those with a doubtful disk before them, each only if there are too few others; among
+     * equals what the group then spans counts first, and those of the group come before others.
+     */
+    private List<Berth> backupsOf(List<Berth> candidates, EpochRecord base, int count) {
+        List<Berth> sound = candidates.stream().filter(m -> !leaving(m) && !excluded(m)).toList();
+        List<Berth> staying = candidates.stream().filter(m -> !leaving(m)).toList();
+        List<Berth> from = sound.size() >= count ? sound : staying.size() >= count ? staying : candidates;
+        return losses.backups(self, from, Comparator.comparing((Berth m) -> leaving(m))
+                .thenComparing(this::excluded).thenComparing(m -> !base.inGroup(m.diskId())), count);
+    }
+
     private Flag ping(long now) {
         return new Flag("ping").with("epoch", record.epoch()).with("fleet", record.fleet()).with("at", now);
     }
@@ -475,13 +566,34 @@
         });
     }
 
-    /** Before a planned end: no duty is taken any more, and one that is held is handed over. */
+    /** Before a planned end: a duty that is held is handed over, and taken again only if nobody else does. */
     public void retire() {
         retired = true;
         if (leading) {
             resign();
-        } else if (known != null && known.rankOf(self.diskId()) >= 0) {
+            lastNotice = deck.now();
+        } else {
+            tickLeaving(deck.now());
+        }
+    }
+
+    /** Whether the newest group known counts on this node's copy, and others could do so in its place. */
+    public boolean needed() {
+        return record != null && known.inGroup(self.diskId()) && known.members().size() > 1;
+    }
+
+    /** A leaver says so again until a newer record does without it: one message may be lost, or come amid a change. */
+    private void tickLeaving(long now) {
+        if (!retired || !needed() || now - lastNotice < times.resend()) {
+            return;
+        }
+        lastNotice = now;
+        if (leading) {
+            resign();
+        } else if (known.rankOf(self.diskId()) >= 0) {
             deck.send(known.primary().address(), new Flag("bow").with("id", self.diskId()));
+        } else if (known.epoch() == resigned) {
+            tellResigned(known);
         }
     }
 
@@ -492,7 +604,12 @@
         }
         EpochRecord r = record;
         stepDown("resigned");
+        resigned = r.epoch();
         nextRun = deck.now() + 2_500_000;
+        tellResigned(r);
+    }
+
+    private void tellResigned(EpochRecord r) {
         Flag f = new Flag("resign").with("epoch", r.epoch()).with("quiet", Math.max(0, givingFrom - deck.now()));
         r.backups().forEach(b -> deck.send(b.address(), f));
     }
@@ -565,6 +682,17 @@
         }
     }
 
+    /** Old members answer and a newcomer does not: it is left for later, and whom it would have replaced stays. */
+    private void leaveOutNewcomers(Candidacy c, long now) {
+        boolean answered = c.members.stream().allMatch(m -> c.base.hasMember(m.diskId())
+                || c.promises.containsKey(m.diskId()));
+        if (!answered && now - c.startedAt > NEWCOMER_WAIT) {
+            deck.event("event=newcomer_silent epoch=" + c.epoch);
+            c.members = c.base.members();
+            weighPromises(c);
+        }
+    }
+
     private void promisedBy(Candidacy c, String diskId, EpochRecord theirs) {
         if (c.copying || c.accepting) {
             return;
@@ -580,6 +708,10 @@
             }
             askPromises(c, theirs);
         }
+        weighPromises(c);
+    }
+
+    private void weighPromises(Candidacy c) {
         // A record may be accepted somewhere and still never begin; the next candidate must then find a majority of
         // its members. So none is proposed before a majority of them, and each newcomer, is known to answer.
         long fresh = c.members.stream().filter(m -> c.promises.containsKey(m.diskId())).count();
@@ -590,8 +722,9 @@
         }
         long have = c.base.members().stream().filter(m -> c.promises.containsKey(m.diskId())).count();
         // The best that can be hoped for: nobody is left to wait for, or the group stays as it is.
-        boolean groupIn = have >= c.base.quorum() && usable(c).stream().filter(m -> c.base.inGroup(m.diskId())
-                && !excluded.contains(m.diskId())).count() >= copies(c);
+        List<Berth> stay = usable(c).stream().filter(m -> c.base.inGroup(m.diskId()) && !excluded(m) && !leaving(m))
+                .toList();
+        boolean groupIn = have >= c.base.quorum() && stay.size() >= copies(c) && losses.spans(groupOf(stay));
         if (have >= c.base.members().size() || groupIn) {
             choose(c);
         } else if (have >= c.base.quorum() && !c.settling) {
@@ -602,13 +735,15 @@
 
     /** How many backups the epoch must have: as many as losses are borne, as far as there are members. */
     private int copies(Candidacy c) {
-        return Math.min(faults, c.members.size() - 1);
+        return Math.min(losses.copies(), c.members.size() - 1);
     }
 
-    /** The members that answered and can be backups. */
+    /** The members that answered and can be backups: newcomers only where a small core grows and has no others. */
     private List<Berth> usable(Candidacy c) {
-        return c.base.members().stream().filter(m -> !m.diskId().equals(self.diskId())
-                && c.promises.containsKey(m.diskId()) && c.members.contains(m)).toList();
+        List<Berth> answered = c.members.stream().filter(m -> !m.diskId().equals(self.diskId())
+                && c.promises.containsKey(m.diskId())).toList();
+        List<Berth> old = answered.stream().filter(m -> c.base.hasMember(m.diskId())).toList();
+        return old.size() >= copies(c) ? old : answered;
     }
 
     private void choose(Candidacy c) {
@@ -616,18 +751,15 @@
             return;
         }
         int copies = copies(c);
-        // Those with a doubtful disk last, those of the group before others.
-        List<Berth> by = new ArrayList<>(usable(c));
-        by.sort(Comparator.comparing((Berth m) -> excluded.contains(m.diskId()))
-                .thenComparing(m -> !c.base.inGroup(m.diskId())));
+        List<Berth> by = backupsOf(usable(c), c.base, copies);
         if (by.size() < copies) {
             abandon("too_few_backups");
             return;
         }
         c.copying = true;
-        c.backups = List.copyOf(by.subList(0, copies));
-        if (c.members.size() < 2 * faults + 1) {
-            deck.event("event=core_too_small members=" + c.members.size() + " losses_to_bear=" + faults);
+        c.backups = by;
+        if (c.members.size() < 2 * losses.machines() + 1) {
+            deck.event("event=core_too_small members=" + c.members.size() + " losses_to_bear=" + losses.machines());
         }
         if (c.backups.isEmpty()) {
             propose(c);
@@ -674,9 +806,9 @@
 
     private void begin(Candidacy c) {
         candidacy = null;
-        excluded.clear();
         boolean continued = leading;
         if (!continued) {
+            memberHeard.clear();
             givingFrom = nextGivingFrom();
         }
         leading = true;
@@ -688,13 +820,21 @@
         c.backups.forEach(b -> backupHeard.put(b.diskId(), now));
         lastPing = now;
         c.proposal.members().forEach(m -> memberHeard.put(m.diskId(),
-                c.accepts.contains(m.diskId()) ? now : memberHeard.getOrDefault(m.diskId(), 0L)));
+                c.accepts.contains(m.diskId()) ? now
+                        // Who has not answered yet is not dead for that: it has a moment to be heard.
+                        : memberHeard.getOrDefault(m.diskId(), now - times.primarySilence())));
         known = c.proposal;
         committedRevision = hold.revision();
         committedText = hold.text();
         deck.event("event=epoch_began epoch=" + c.epoch + " primary=" + self.name() + " backups="
                 + String.join(",", c.backups.stream().map(Berth::name).toList()) + " members=" + c.members.size() + " claims="
                 + hold.claimCount() + " revision=" + hold.revision());
+        boolean spans = losses.spans(groupOf(c.backups));
+        if ((losses.zones() > 0 || losses.regions() > 0) && (!spans || losses.margin(c.members) < 0)) {
+            deck.event("event=core_not_spread epoch=" + c.epoch + " zones_to_bear=" + losses.zones()
+                    + " regions_to_bear=" + losses.regions() + " group=" + (spans ? "spread" : "crowded")
+                    + " majority=" + (losses.margin(c.members) < 0 ? "crowded" : "spread"));
+        }
         List<Batch> done = new ArrayList<>(batches.values());
         if (open != null) {
             done.add(open);
@@ -709,6 +849,7 @@
         for (Batch b : later) {
             propose(b.entries.get(0), b.committed.get(0));
         }
+        lastNotice = now;
     }
 
     private void abandon(String why) {
@@ -716,7 +857,7 @@
         if (candidacy.copying && !candidacy.accepting) {
             for (Berth b : candidacy.backups) {
                 if (!candidacy.copied.contains(b.diskId())) {
-                    excluded.add(b.diskId());
+                    exclude(b.diskId());
                 }
             }
         }
@@ -734,6 +875,7 @@
         switch (f.kind()) {
             case "prep" -> onPrepare(f);
             case "prom" -> {
+                heardOf(f.text("id"), f.truth("leaving"));
                 if (candidacy != null && candidacy.epoch == f.number("epoch")) {
                     promisedBy(candidacy, f.text("id"), EpochRecord.of(f.flag("record")));
                 }
@@ -768,7 +910,7 @@
                 learn(EpochRecord.of(f.flag("record")));
                 if (leading() && record.epoch() == f.number("epoch")) {
                     if (f.truth("disk")) {
-                        excluded.add(f.text("id"));
+                        exclude(f.text("id"));
                     }
                     run(record.members());
                 }
@@ -791,20 +933,20 @@
                 }
             }
             case "bow" -> {
-                if (leading() && record.rankOf(f.text("id")) >= 0) {
-                    excluded.add(f.text("id"));
-                    run(record.members());
+                leavers.add(f.text("id"));
+                if (leading()) {
+                    reform(deck.now());
                 }
             }
             case "resign" -> {
                 if (!leading && record != null && record.epoch() == f.number("epoch")
-                        && known.inGroup(self.diskId()) && !retired && !diskBad) {
-                    excluded.add(record.primary().diskId());
+                        && known.inGroup(self.diskId()) && !diskBad) {
+                    exclude(record.primary().diskId());
                     // It has stopped acting as primary, and each backup is told so; they take their turns.
                     quietUntil = deck.now() + f.number("quiet");
                     long epoch = record.epoch();
-                    deck.after(record.rankOf(self.diskId()) * times.rankStep(), () -> {
-                        if (!leading && candidacy == null && !retired && !diskBad && known.epoch() == epoch
+                    deck.after(record.rankOf(self.diskId()) * times.rankStep() + (retired ? LEAVER_LATER : 0), () -> {
+                        if (!leading && candidacy == null && !diskBad && known.epoch() == epoch
                                 && promised == epoch) {
                             run(known.members());
                         }
@@ -851,6 +993,7 @@
         write(new Flag("promise").with("epoch", e), ok -> {
             if (ok) {
                 deck.send(from, new Flag("prom").with("epoch", e).with("id", self.diskId())
+                        .with("leaving", retired ? true : null)
                         .with("record", record == null ? null : record.toFlag()));
             } else {
                 diskFailed();
@@ -998,7 +1141,7 @@
         }
         deck.send(from, new Flag("pong").with("at", follows ? f.number("at") : null).with("id", self.diskId())
                 .with("epoch", record.epoch()).with("promised", promised).with("disk", diskBad ? true : null)
-                .with("record", record.epoch() > e ? record.toFlag() : null));
+                .with("leaving", retired ? true : null).with("record", record.epoch() > e ? record.toFlag() : null));
     }
 
     private void onPong(Flag f) {
@@ -1009,6 +1152,10 @@
         long now = deck.now();
         String id = f.text("id");
         memberHeard.put(id, now);
+        heardOf(id, f.truth("leaving"));
+        if (f.truth("disk")) {
+            exclude(id);
+        }
         boolean follows = record.rankOf(id) >= 0 && f.number("promised") <= record.epoch();
         if (follows && !f.truth("disk")) {
             backupHeard.put(id, now);
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -11,6 +11,7 @@
 import org.otterpond.chart.Settings;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.HarbourTerms;
+import org.otterpond.harbour.LossTolerance;
 import org.otterpond.harbour.NodeIdentity;
 import org.otterpond.harbour.QuotaTerms;
 import org.otterpond.harbour.WatchTimes;
@@ -130,10 +131,11 @@
     }
 
     private HarbourTerms terms() {
-        return new HarbourTerms(settings.heartbeatMicros(), settings.keyWindowMicros(), settings.faults(),
+        return new HarbourTerms(settings.heartbeatMicros(), settings.keyWindowMicros(),
+                new LossTolerance(settings.faults(), settings.zoneFaults(), settings.regionFaults(), settings.regionOf()),
                 new QuotaTerms(settings.quotaWindowMicros(), settings.quotaExcess(), settings.quotaSlack(),
                         WatchTimes.standard().lent(), settings.ceilingWindowMicros(), settings.ceilingExcess() - 1),
-                HoldTerms.of(settings.holdMicros(), settings.thawMicros()), settings.zoneFaults());
+                HoldTerms.of(settings.holdMicros(), settings.thawMicros()));
     }
 
     private static void makeIdentity(Logbook logbook, String diskId) throws LogbookException {
@@ -246,11 +248,13 @@
     private void checkLeft(long by) {
         boolean late = Quay.now() >= by;
         boolean busy = pilotage.open() > 0 || (front != null && front.busy());
-        if (!late && busy) {
+        // The core may still count on what is held here: this node ends once the newest epoch does without it.
+        boolean needed = pilotage.node().needed();
+        if (!late && (busy || needed)) {
             quay.after(50_000, () -> checkLeft(by));
             return;
         }
-        LOG.info("event=left node={} busy={}", settings.nodeName(), busy);
+        LOG.info("event=left node={} busy={} needed={}", settings.nodeName(), busy, needed);
         pilotage.endAll();
         if (front != null) {
             front.closeIdle();
--- a/src/test/java/org/otterpond/sim/SimNode.java
+++ b/src/test/java/org/otterpond/sim/SimNode.java
@@ -9,6 +9,7 @@
 import org.otterpond.harbour.Deck;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.HarbourTerms;
+import org.otterpond.harbour.LossTolerance;
 import org.otterpond.harbour.NodeIdentity;
 import org.otterpond.harbour.Shore;
 import org.otterpond.harbour.Vessel;
@@ -27,7 +28,9 @@
     final String address;
     final SimDisk disk;
     private final List<String> seeds;
-    private final int faults;
+    /** Where the machine stands, and what the deployment says may be lost. */
+    String zone = "z";
+    LossTolerance losses;
     private boolean firstStart = true;
     private SimDeck deck;
     HarbourNode node;
@@ -46,7 +49,7 @@
     private final List<Runnable> frozenTasks = new ArrayList<>();
 
     SimNode(SimWorld world, Checker checker, String address, boolean withDisk, List<String> seeds, int faults) {
-        this.faults = faults;
+        this.losses = LossTolerance.ofMachines(faults);
         this.world = world;
         this.checker = checker;
         this.address = address;
@@ -90,9 +93,9 @@
         long life = world.random.nextLong() >>> 1;
         boolean blank = disk != null && disk.blank();
         checker.started(address, life);
-        node = new HarbourNode(deck, new NodeIdentity(address, address, "z", disk == null ? null : disk.id, blank,
+        node = new HarbourNode(deck, new NodeIdentity(address, address, zone, disk == null ? null : disk.id, blank,
                 firstStart, seeds, life, storeDisk == null ? null : storeDisk.id), new SimShore(life),
-                new HarbourTerms(1_500_000, Checker.WINDOW, faults, SimFleet.QUOTA));
+                new HarbourTerms(1_500_000, Checker.WINDOW, losses, SimFleet.QUOTA));
         if (disk != null && !blank) {
             node.replay(disk.read());
         }
