--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -283,7 +283,7 @@
             lastGossip = now;
             tellMembers(new Flag("rec").with("record", known.toFlag()));
         }
-        if (diskBad || !known.inGroup(self.diskId()) || now < nextRun) {
+        if (diskBad || retired && !needed() || !known.inGroup(self.diskId()) || now < nextRun) {
             return;
         }
         boolean namedPrimary = known.primary().diskId().equals(self.diskId());
@@ -807,6 +807,8 @@
     private void begin(Candidacy c) {
         candidacy = null;
         boolean continued = leading;
+        excluded.values().removeIf(until -> until <= deck.now());
+        leavers.removeIf(id -> !c.proposal.hasMember(id));
         if (!continued) {
             memberHeard.clear();
             givingFrom = nextGivingFrom();
--- a/src/test/java/org/otterpond/sim/SecondLossTest.java
+++ b/src/test/java/org/otterpond/sim/SecondLossTest.java
@@ -225,6 +225,22 @@
         assertEquals(1, record(f).members().stream().filter(m -> m.zone().equals("a")).count(), f::tail);
     }
 
+    @Test
+    void groupIsFormedAnewOnceItCanSpan() {
+        SimFleet f = fleet(545, 3, new LossTolerance(1, 1, 0, REGIONS), i -> i == 2 ? "b" : "a");
+        SimNode other = f.leader().zone.equals("b") ? f.leader() : backup(f);
+        assertEquals("b", other.zone, f::tail);
+        other.kill();
+        f.world.run(2 * S);
+        assertEquals("aa", f.leader().zone + backup(f).zone);
+        other.start();
+        f.world.run(SYNC);
+        assertTrue(record(f).inGroup(other.disk.id), f::tail);
+        long before = epochs(f);
+        f.world.run(20 * S);
+        assertEquals(before, epochs(f), f::tail);
+    }
+
     @Test
     void coreOfMoreThanNineDisksReplacesItsDead() {
         SimFleet f = fleet(550, 12, 2);
@@ -268,6 +284,20 @@
         }
     }
 
+    /** The word that it resigns is lost: it says so again, before the backups take its silence for an answer. */
+    @Test
+    void leavingPrimaryIsFollowedThoughItsNoticeIsLost() {
+        SimFleet f = fleet(562, 5, 2);
+        SimNode leaver = f.leader();
+        f.world.cutOff(leaver.address);
+        leaver.perform(() -> leaver.node.retire());
+        f.world.run(20_000);
+        f.world.heal();
+        f.world.run(450_000);
+        assertFalse(record(f).inGroup(leaver.disk.id), f::tail);
+        assertFalse(leaver.node.needed());
+    }
+
     /** What it would hand over to dies as it does: then the leaver holds the only copy. */
     @Test
     void leavingPrimaryWhoseSuccessorDiesMakesAnother() {
