--- a/src/main/java/org/otterpond/sim/SimNode.java
+++ b/src/main/java/org/otterpond/sim/SimNode.java
@@ -9,6 +9,7 @@
 import org.otterpond.harbour.Deck;
 import org.otterpond.harbour.HarbourNode;
 import org.otterpond.harbour.HarbourTerms;
+import org.otterpond.harbour.LossTolerance;
 import org.otterpond.harbour.NodeIdentity;
 import org.otterpond.harbour.Vessel;
 import org.otterpond.keys.RangeTable;
@@ -28,7 +29,8 @@
     String region = "r";
     final SimDisk disk;
     private final List<String> seeds;
-    private final int faults;
+    /** What the deployment says may be lost. */
+    LossTolerance losses;
     private boolean firstStart = true;
     private SimDeck deck;
     HarbourNode node;
@@ -49,7 +51,7 @@
     private final FrozenTasks frozenTasks = new FrozenTasks();
 
     SimNode(SimWorld world, Checker checker, String address, boolean withDisk, List<String> seeds, int faults) {
-        this.faults = faults;
+        this.losses = LossTolerance.ofMachines(faults);
         this.world = world;
         this.checker = checker;
         this.address = address;
@@ -100,7 +102,7 @@
         checker.started(address, life);
         node = new HarbourNode(deck, new NodeIdentity(address, address, zone, disk == null ? null : disk.id, blank,
                 firstStart, seeds, life, storeDisk == null ? null : storeDisk.id), new SimShore(this, checker, life, deck::perform),
-                new HarbourTerms(1_500_000, Checker.WINDOW, faults, SimFleet.QUOTA));
+                new HarbourTerms(1_500_000, Checker.WINDOW, losses, SimFleet.QUOTA));
         if (disk != null && !blank) {
             node.replay(disk.read());
         }
