Journals sync their folder before a new file counts, and after a removal

Logbook.rotate removed the old file behind a new one whose name might be lost: the disk then looked blank. The file left by a failed rotation could come back after a restart, newer than the one appended to since. A dropped segment could come back without the one after it, which says how its messages ended.

--- a/src/main/java/org/otterpond/logbook/Logbook.java
+++ b/src/main/java/org/otterpond/logbook/Logbook.java
@@ -21,20 +21,24 @@
 public final class Logbook {
     private static final String PREFIX = "log-";
 
-    private final Path folder;
+    private final Folder folder;
     private FileChannel channel;
     private long number;
     private long end;
     private boolean rotated = true;
 
     public Logbook(Path folder) {
+        this(new Folder(folder));
+    }
+
+    Logbook(Folder folder) {
         this.folder = folder;
     }
 
     /** Opens the journal and reads what it holds; an empty list means a blank disk. */
     public List<Flag> open() throws LogbookException {
         try {
-            Files.createDirectories(folder);
+            folder.make();
             List<Long> numbers = numbers();
             for (int i = numbers.size() - 1; i >= 0; i--) {
                 Path file = file(numbers.get(i));
@@ -45,20 +49,35 @@
                     channel = FileChannel.open(file, StandardOpenOption.WRITE);
                     channel.truncate(end);
                     // A newer file that is no journal must never come to look like one again.
-                    rotated = i == numbers.size() - 1;
+                    rotated = i == numbers.size() - 1 && settled();
                     return records;
                 }
             }
             number = numbers.isEmpty() ? 0 : numbers.get(numbers.size() - 1);
             return List.of();
         } catch (IOException e) {
-            throw new LogbookException("journal not readable in " + folder, e);
+            throw new LogbookException("journal not readable in " + folder.path(), e);
+        }
+    }
+
+    /**
+     * Makes what was read last, before anything is built on it: the life before may have ended between a write and its
+     * sync, or between the removal of a file that a failed rotation left and the sync of the folder. Such a file could
+     * come back later, newer than the one that is written to now.
+     */
+    private boolean settled() {
+        try {
+            channel.force(true);
+            folder.sync();
+            return true;
+        } catch (IOException e) {
+            return false;
         }
     }
 
     private List<Long> numbers() throws IOException {
         List<Long> out = new ArrayList<>();
-        try (Stream<Path> files = Files.list(folder)) {
+        try (Stream<Path> files = Files.list(folder.path())) {
             for (Path p : (Iterable<Path>) files::iterator) {
                 String n = p.getFileName().toString();
                 if (n.startsWith(PREFIX)) {
@@ -75,7 +94,7 @@
     }
 
     private Path file(long n) {
-        return folder.resolve(PREFIX + n);
+        return folder.file(PREFIX + n);
     }
 
     private List<Flag> read(Path file) throws IOException {
@@ -134,12 +153,16 @@
         }
     }
 
-    /** Begins a new file that stands for all before it, then lets the older ones go. */
+    /**
+     * Begins a new file that stands for all before it, then lets the older ones go. It counts once it is synced and its
+     * folder too: a file that is whole but whose name is lost leaves a blank disk once the older ones are gone.
+     */
     public void rotate(String diskId, List<Flag> base) throws LogbookException {
         long next = ++number;
         Path file = file(next);
+        FileChannel fresh = null;
         try {
-            FileChannel fresh = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+            fresh = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                     StandardOpenOption.TRUNCATE_EXISTING);
             long at = 0;
             List<Flag> all = new ArrayList<>();
@@ -152,6 +175,7 @@
                 }
             }
             fresh.force(true);
+            folder.sync();
             FileChannel old = channel;
             channel = fresh;
             end = at;
@@ -159,16 +183,26 @@
             letGo(old, next);
         } catch (IOException e) {
             rotated = false;
-            try {
-                Files.deleteIfExists(file);
-            } catch (IOException ignored) {
-                // A removed name may come back after a loss of power in any case.
-            }
+            giveUp(fresh, file);
             throw new LogbookException("journal not rotated", e);
         }
     }
 
-    /** From here on the new file stands for all; what is left of the older ones does no harm. */
+    private void giveUp(FileChannel fresh, Path file) {
+        try {
+            if (fresh != null) {
+                fresh.close();
+            }
+            folder.remove(file);
+        } catch (IOException ignored) {
+            // A removed name may come back after a loss of power in any case, until the folder is synced.
+        }
+    }
+
+    /**
+     * From here on the new file stands for all; what is left of the older ones, or comes back, does no harm: the newest
+     * whole file is read, and that one's name lasts.
+     */
     private void letGo(FileChannel old, long newest) {
         try {
             if (old != null) {
@@ -176,7 +210,7 @@
             }
             for (long n : numbers()) {
                 if (n < newest) {
-                    Files.deleteIfExists(file(n));
+                    folder.remove(file(n));
                 }
             }
         } catch (IOException e) {
--- a/src/main/java/org/otterpond/logbook/SegmentLog.java
+++ b/src/main/java/org/otterpond/logbook/SegmentLog.java
@@ -27,14 +27,20 @@
     private static final String PREFIX = "seg-";
     private static final int PLACE_BITS = 32;
 
-    private final Path folder;
+    private final Folder folder;
     private final TreeMap<Long, FileChannel> segments = new TreeMap<>();
     private final TreeMap<Long, Long> sizes = new TreeMap<>();
     private long end;
     private long next = 1;
     private boolean sound = true;
+    /** Whether a removed segment may still come back, as the folder was not synced since. */
+    private boolean removalOpen;
 
     public SegmentLog(Path folder) {
+        this(new Folder(folder));
+    }
+
+    SegmentLog(Folder folder) {
         this.folder = folder;
     }
 
@@ -53,9 +59,9 @@
      */
     public void open(BiConsumer<Flag, Long> each) throws LogbookException {
         try {
-            Files.createDirectories(folder);
+            folder.make();
             List<Long> numbers = new ArrayList<>();
-            try (Stream<Path> files = Files.list(folder)) {
+            try (Stream<Path> files = Files.list(folder.path())) {
                 for (Path p : (Iterable<Path>) files::iterator) {
                     String n = p.getFileName().toString();
                     if (n.startsWith(PREFIX)) {
@@ -73,13 +79,27 @@
                 end = whole;
                 next = n + 1;
             }
+            sound = settled();
         } catch (IOException | NumberFormatException e) {
-            throw new LogbookException("journal not readable in " + folder, e);
+            throw new LogbookException("journal not readable in " + folder.path(), e);
+        }
+    }
+
+    /** Makes what was read last, before anything is written behind it; if that fails a new segment is begun first. */
+    private boolean settled() {
+        try {
+            if (!segments.isEmpty()) {
+                segments.lastEntry().getValue().force(true);
+            }
+            folder.sync();
+            return true;
+        } catch (IOException e) {
+            return false;
         }
     }
 
     private Path file(long n) {
-        return folder.resolve(PREFIX + n);
+        return folder.file(PREFIX + n);
     }
 
     private long scan(FileChannel c, long segment, BiConsumer<Flag, Long> each) throws IOException {
@@ -137,20 +157,38 @@
     /** Begins a new segment with these records; it counts once it is synced with its name. */
     public void begin(List<Flag> head) throws LogbookException {
         long n = next++;
+        FileChannel c = null;
         try {
-            FileChannel c = FileChannel.open(file(n), StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
+            c = FileChannel.open(file(n), StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
                     StandardOpenOption.WRITE);
             long at = write(c, 0, frames(head));
             c.force(true);
+            folder.sync();
+            removalOpen = false;
             segments.put(n, c);
             sizes.put(n, at);
             end = at;
             sound = true;
         } catch (IOException e) {
+            // It may be there after a loss of power, and is read in its order then: nothing goes behind the segment
+            // before it any more until another one has been begun.
+            sound = false;
+            giveUp(c, n);
             throw new LogbookException("segment not begun", e);
         }
     }
 
+    private void giveUp(FileChannel c, long n) {
+        try {
+            if (c != null) {
+                c.close();
+                folder.remove(file(n));
+            }
+        } catch (IOException ignored) {
+            // It takes its place on the disk until the next start.
+        }
+    }
+
     private static List<byte[]> frames(List<Flag> records) {
         List<byte[]> out = new ArrayList<>();
         records.forEach(r -> out.add(frame(r)));
@@ -238,18 +276,31 @@
         }
     }
 
-    /** Lets the oldest segment go; never the newest. */
+    /**
+     * Lets the oldest segment go; never the newest. The removal is made to last before the next one may go: else the
+     * older of two might come back without the one that says how what it holds ended.
+     */
     public void dropOldest() throws LogbookException {
         if (segments.size() < 2) {
             return;
         }
-        long n = segments.firstKey();
         try {
+            syncRemoval();
+            long n = segments.firstKey();
+            removalOpen = true;
+            folder.remove(file(n));
             segments.remove(n).close();
             sizes.remove(n);
-            Files.deleteIfExists(file(n));
+            syncRemoval();
         } catch (IOException e) {
             throw new LogbookException("segment not removed", e);
         }
     }
+
+    private void syncRemoval() throws IOException {
+        if (removalOpen) {
+            folder.sync();
+            removalOpen = false;
+        }
+    }
 }
