A backup that started again says at once that it has lost its place

It forgot its place in the epoch's sequence: later batches were ignored and the primary waited for a time-out (0.7 s). A batch of number 1 was taken and acknowledged, though the life before may have had it and those after it. CatchUpTest's two tests fail without this.

--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -67,6 +67,8 @@
     /** From then on this node may, as primary, give out such things. */
     private long givingFrom;
     private long lastSeq;
+    /** Whether an earlier life followed this epoch: how far it had come is not known any more. */
+    private boolean placeLost;
     private long primaryHeard;
 
     private Candidacy candidacy;
@@ -133,6 +135,7 @@
                 record = EpochRecord.of(f.flag("record"));
                 promised = Math.max(promised, record.epoch());
                 known = record;
+                placeLost = true;
             }
             case "state" -> hold.load(f, deck.now());
             case "claim", "free", "config", "worker", Assignments.KIND -> hold.apply(f, deck.now());
@@ -923,6 +926,7 @@
         record = r;
         promised = Math.max(promised, r.epoch());
         lastSeq = 0;
+        placeLost = false;
         primaryHeard = deck.now();
         write(new Flag("accept").with("record", r.toFlag()), done);
     }
@@ -936,7 +940,9 @@
         }
         primaryHeard = deck.now();
         long n = f.number("seq");
-        if (n > lastSeq + 1) {
+        if (placeLost || n > lastSeq + 1) {
+            // Said at once: only another epoch, which copies the state, makes this one a backup again.
+            lostPlace(from, e);
             return;
         }
         List<Flag> entries = f.flags("entries");
@@ -962,6 +968,12 @@
         committedText = hold.text();
     }
 
+    private void lostPlace(String from, long e) {
+        deck.event("event=place_lost epoch=" + e);
+        deck.send(from, new Flag("repno").with("epoch", e).with("promised", promised).with("id", self.diskId())
+                .with("record", record.toFlag()));
+    }
+
     private void onReplicated(Flag f) {
         if (!leading() || record.epoch() != f.number("epoch")) {
             return;
@@ -994,6 +1006,9 @@
             if (promised == e) {
                 follows = true;
                 quietUntil = Math.max(quietUntil, deck.now() + times.authority());
+                if (placeLost && record.rankOf(self.diskId()) >= 0) {
+                    lostPlace(from, e);
+                }
             }
         }
         deck.send(from, new Flag("pong").with("at", follows ? f.number("at") : null).with("id", self.diskId())
