The state goes to new backups packed and in pieces, for as long as the copy goes on

Now a backup takes numbered pieces in their order, keeps what it held until it has them all, and each piece acknowledged gives the candidate more time, up to 30 s. Few pieces are out at a time, more as they are answered fast. Those who promised are told that the copy goes on, so that they do not bid against it.

--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -9,7 +9,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
+import org.otterpond.signal.SignalException;
 
 /**
  * The core's epoch machine on one disk-bearing node: witness always, and primary or backup when an epoch names it.
@@ -21,6 +23,8 @@
  */
 public final class Watch {
     private static final int EPOCH_STEP = 64;
+    /** However slowly a copy goes on, the changes that wait for its epoch do not wait for longer. */
+    private static final long LONGEST_COPY = 30_000_000;
 
     private final Deck deck;
     private final WatchTimes times;
@@ -69,6 +73,9 @@
     private long lastSeq;
     /** Whether an earlier life followed this epoch: how far it had come is not known any more. */
     private boolean placeLost;
+    private SnapshotReceiver arriving;
+    /** The snapshot that was taken last. */
+    private long installed;
     private long primaryHeard;
 
     private Candidacy candidacy;
@@ -102,6 +109,11 @@
     private static final class Candidacy {
         long epoch;
         long startedAt;
+        /** When something last showed that it goes on. */
+        long progressAt;
+        /** When the others were last told that it does. */
+        long toldAt;
+        SnapshotSender snapshot;
         boolean copying;
         boolean accepting;
         boolean settling;
@@ -109,6 +121,9 @@
         EpochRecord base;
         EpochRecord proposal;
         List<Berth> backups = List.of();
+        /** What the backups are told with the state: for how long others may still act, as seen when it was taken. */
+        long quiet;
+        long gives;
         final Set<String> copied = new HashSet<>();
         final Map<String, EpochRecord> promises = new HashMap<>();
         final Set<String> accepts = new HashSet<>();
@@ -137,7 +152,7 @@
                 known = record;
                 placeLost = true;
             }
-            case "state" -> hold.load(f, deck.now());
+            case "state" -> hold.load(unpacked(f), deck.now());
             case "claim", "free", "config", "worker", Assignments.KIND -> hold.apply(f, deck.now());
             default -> deck.event("event=journal_record_skipped kind=" + f.kind());
         }
@@ -145,6 +160,14 @@
         committedText = hold.text();
     }
 
+    private static Flag unpacked(Flag state) {
+        try {
+            return state.has("bale") ? Bale.unpack(state.bytes("bale")) : state;
+        } catch (SignalException e) {
+            throw new IllegalStateException("a state that was read back once before", e);
+        }
+    }
+
     /** What a fresh journal must begin with to stand for this one. */
     public List<Flag> journalBase() {
         List<Flag> out = new ArrayList<>();
@@ -253,10 +276,12 @@
             return;
         }
         if (candidacy != null) {
-            if (now - candidacy.startedAt > times.phase()) {
+            if (now - candidacy.progressAt > times.phase() || now - candidacy.startedAt > LONGEST_COPY) {
                 abandon("timeout");
             } else if (!candidacy.copying) {
                 askPromises(candidacy, candidacy.base);
+            } else if (candidacy.snapshot != null && !candidacy.accepting) {
+                copyOn(candidacy, now);
             }
             return;
         }
@@ -542,6 +567,7 @@
         long top = Math.max(Math.max(promised, highestSeen), known.epoch());
         c.epoch = (top / EPOCH_STEP + 1) * EPOCH_STEP + Math.max(0, known.indexOf(self.diskId()));
         c.startedAt = deck.now();
+        c.progressAt = c.startedAt;
         c.members = members;
         c.base = known;
         candidacy = c;
@@ -639,16 +665,50 @@
         long now = deck.now();
         long quiet = Math.max(0, quietUntil - now);
         long gives = Math.max(0, (leading ? givingFrom : nextGivingFrom()) - now);
-        Flag state = hold.snapshot();
+        // Nothing changes from here until the epoch has begun: what comes meanwhile waits.
+        c.snapshot = new SnapshotSender(deck.random(Long.MAX_VALUE - 1) + 1, hold.snapshot());
+        c.progressAt = deck.now();
+        c.toldAt = c.progressAt;
+        c.quiet = quiet;
+        c.gives = gives;
+        c.backups.forEach(b -> sendPieces(c, b, c.snapshot.due(b.diskId(), c.progressAt)));
+    }
+
+    private void sendPieces(Candidacy c, Berth to, List<Flag> pieces) {
+        pieces.forEach(p -> deck.send(to.address(), p.with("epoch", c.epoch).with("to", to.diskId())
+                .with("quiet", c.quiet).with("gives", c.gives).with("from", self.address())));
+    }
+
+    private void copyOn(Candidacy c, long now) {
         for (Berth b : c.backups) {
-            deck.send(b.address(), new Flag("snap").with("epoch", c.epoch).with("to", b.diskId())
-                    .with("state", state).with("quiet", quiet).with("gives", gives)
-                    .with("from", self.address()));
+            if (!c.copied.contains(b.diskId())) {
+                sendPieces(c, b, c.snapshot.again(b.diskId(), now, times.diskStall()));
+            }
+        }
+        if (now - c.toldAt > times.phase() / 3) {
+            // A copy may last; those who promised this epoch must not take its candidate for dead.
+            c.toldAt = now;
+            tellMembers(new Flag("copying").with("epoch", c.epoch));
+        }
+    }
+
+    private void pieceHeld(Candidacy c, Flag f) {
+        long now = deck.now();
+        if (!c.snapshot.acknowledged(f.text("id"), f.number("snapshot"), (int) f.number("held"), now)) {
+            return;
+        }
+        c.progressAt = now;
+        for (Berth b : c.backups) {
+            if (b.diskId().equals(f.text("id"))) {
+                sendPieces(c, b, c.snapshot.due(b.diskId(), now));
+            }
         }
     }
 
     private void propose(Candidacy c) {
         c.accepting = true;
+        c.progressAt = deck.now();
+        c.snapshot = null;
         c.proposal = new EpochRecord(c.base.fleet(), c.epoch, self, c.backups, c.members, c.base.target());
         EpochRecord p = c.proposal;
         accept(p, ok -> {
@@ -748,7 +808,17 @@
                     abandon("outbid");
                 }
             }
-            case "snap" -> onSnapshot(f);
+            case "snappiece" -> onPiece(f);
+            case "snapheld" -> {
+                if (candidacy != null && candidacy.epoch == f.number("epoch") && candidacy.snapshot != null) {
+                    pieceHeld(candidacy, f);
+                }
+            }
+            case "copying" -> {
+                if (promised == f.number("epoch") && promised == promisedTo) {
+                    leaveTo(deck.now());
+                }
+            }
             case "snapok" -> {
                 Candidacy c = candidacy;
                 if (c != null && c.epoch == f.number("epoch") && c.copying && !c.accepting) {
@@ -861,9 +931,20 @@
         });
     }
 
-    private void onSnapshot(Flag f) {
+    /** Another is about to begin an epoch, and is given the time for it. */
+    private void leaveTo(long now) {
+        primaryHeard = now;
+        nextRun = Math.max(nextRun, now + times.phase() + deck.random(300_000));
+    }
+
+    private void onPiece(Flag f) {
         long e = f.number("epoch");
-        if (!self.diskId().equals(f.text("to")) || e < promised) {
+        if (!self.diskId().equals(f.text("to"))) {
+            return;
+        }
+        if (e < promised) {
+            deck.send(f.text("from"), new Flag("nack").with("promised", promised)
+                    .with("record", record == null ? null : record.toFlag()));
             return;
         }
         promised = e;
@@ -871,22 +952,52 @@
             stepDown("took_snapshot");
         }
         candidacy = null;
-        Flag state = f.flag("state");
+        leaveTo(deck.now());
+        long snapshot = f.number("snapshot");
+        if (snapshot == installed) {
+            // The word of it was lost. It follows the state to the disk.
+            write(new Flag("promise").with("epoch", e), ok -> taken(ok, f));
+            return;
+        }
+        if (arriving == null || !arriving.of(snapshot)) {
+            arriving = new SnapshotReceiver(snapshot);
+        }
+        int held = arriving.take(f);
+        deck.send(f.text("from"), new Flag("snapheld").with("epoch", e).with("id", self.diskId())
+                .with("snapshot", snapshot).with("held", held));
+        if (arriving.whole()) {
+            byte[] packed = arriving.packed();
+            arriving = null;
+            install(f, packed);
+        }
+    }
+
+    private void install(Flag f, byte[] packed) {
+        Flag state;
+        try {
+            state = Bale.unpack(packed);
+        } catch (SignalException x) {
+            // What was held before stays; the candidate hears nothing and goes on without this member.
+            deck.event("event=snapshot_unreadable epoch=" + f.number("epoch") + " cause=" + x.getMessage());
+            return;
+        }
         long now = deck.now();
         quietUntil = Math.max(quietUntil, now + f.number("quiet"));
         formerSince = now + f.number("gives");
         hold.load(state, now);
         committedRevision = hold.revision();
         committedText = hold.text();
-        primaryHeard = now;
-        write(new Flag("promise").with("epoch", e), ok -> { });
-        write(state, ok -> {
-            if (ok) {
-                deck.send(f.text("from"), new Flag("snapok").with("epoch", e).with("id", self.diskId()));
-            } else {
-                diskFailed();
-            }
-        });
+        installed = f.number("snapshot");
+        write(new Flag("promise").with("epoch", f.number("epoch")), ok -> { });
+        write(new Flag("state").with("bale", packed), ok -> taken(ok, f));
+    }
+
+    private void taken(boolean ok, Flag f) {
+        if (ok) {
+            deck.send(f.text("from"), new Flag("snapok").with("epoch", f.number("epoch")).with("id", self.diskId()));
+        } else {
+            diskFailed();
+        }
     }
 
     private void onAccept(Flag f) {
--- a/src/main/java/org/otterpond/signal/FlagCodec.java
+++ b/src/main/java/org/otterpond/signal/FlagCodec.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,28 +21,46 @@
 
     public static byte[] encode(Flag flag) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(256);
-        try (JsonGenerator g = FACTORY.createGenerator(out)) {
-            write(g, flag.asMap());
+        try {
+            encode(flag, out);
         } catch (IOException e) {
             throw new IllegalStateException("in-memory encoding failed", e);
         }
         return out.toByteArray();
     }
 
-    @SuppressWarnings("unchecked")
+    static void encode(Flag flag, OutputStream out) throws IOException {
+        try (JsonGenerator g = FACTORY.createGenerator(out)) {
+            write(g, flag.asMap());
+        }
+    }
+
     public static Flag decode(byte[] bytes, int offset, int length) throws SignalException {
         try (JsonParser p = FACTORY.createParser(bytes, offset, length)) {
-            p.nextToken();
-            Object v = read(p);
-            if (!(v instanceof Map)) {
-                throw new SignalException("a message is a map", null);
-            }
-            return Flag.fromMap((Map<String, Object>) v);
+            return decode(p);
         } catch (IOException e) {
             throw new SignalException("unreadable message", e);
         }
     }
 
+    static Flag decode(InputStream in) throws SignalException {
+        try (JsonParser p = FACTORY.createParser(in)) {
+            return decode(p);
+        } catch (IOException e) {
+            throw new SignalException("unreadable message", e);
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Flag decode(JsonParser p) throws IOException, SignalException {
+        p.nextToken();
+        Object v = read(p);
+        if (!(v instanceof Map)) {
+            throw new SignalException("a message is a map", null);
+        }
+        return Flag.fromMap((Map<String, Object>) v);
+    }
+
     private static void write(JsonGenerator g, Object v) throws IOException {
         if (v == null) {
             g.writeNull();
