A long frame on a slow way is answered while it arrives

A frame that took longer than 1.1 s to arrive was given up, however well it went on, and sent again: at 2 Mbit/s anything above some 275 kB never arrived. SlowLinkTest fails without this.

--- a/src/main/java/org/otterpond/quay/Link.java
+++ b/src/main/java/org/otterpond/quay/Link.java
@@ -21,6 +21,8 @@
     private static final long ASK_AFTER = 350_000;
     private static final long DEAD_AFTER = 1_100_000;
     private static final long IDLE_CLOSE = 60_000_000;
+    /** A long frame that is still arriving is answered so often: whoever sends it can tell a slow way from a dead end. */
+    private static final long ARRIVING = 200_000;
 
     private final Quay quay;
     private final Links links;
@@ -38,6 +40,7 @@
     private long waitingSince;
     private long usedAt;
     private boolean pinged;
+    private long arrivingSaid;
 
     Link(Quay quay, Links links, SocketChannel channel, String peer) throws IOException {
         this.quay = quay;
@@ -155,6 +158,7 @@
                 throw new SignalException("frame of " + length + " bytes", null);
             }
             if (filled - at - 4 < length) {
+                arriving();
                 break;
             }
             usedAt = heardAt;
@@ -168,6 +172,13 @@
         }
     }
 
+    private void arriving() {
+        if (heardAt - arrivingSaid >= ARRIVING) {
+            arrivingSaid = heardAt;
+            frame(PONG, Missive.EMPTY);
+        }
+    }
+
     void check(long now) {
         if (waitingSince != 0 && now - waitingSince > DEAD_AFTER) {
             close(false);
