--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -11,7 +11,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
+import org.otterpond.signal.SignalException;
 
 /**
  * The core's epoch machine on one disk-bearing node: witness always, and primary or backup when an epoch names it.
@@ -31,6 +33,8 @@
     private static final long LEAVER_LATER = 1_000_000;
     private static final long REFORM_PAUSE = 1_000_000;
     private static final int MOST_REFORM_PAUSES = 32;
+    /** However slowly a copy goes on, the changes that wait for its epoch do not wait for longer. */
+    private static final long LONGEST_COPY = 30_000_000;
 
     private final Deck deck;
     private final WatchTimes times;
@@ -78,6 +82,11 @@
     /** From then on this node may, as primary, give out such things. */
     private long givingFrom;
     private long lastSeq;
+    /** Whether an earlier life followed this epoch: how far it had come is not known any more. */
+    private boolean placeLost;
+    private SnapshotReceiver arriving;
+    /** The snapshot that was taken last. */
+    private long installed;
     private long primaryHeard;
 
     private Candidacy candidacy;
@@ -112,6 +121,11 @@
     private static final class Candidacy {
         long epoch;
         long startedAt;
+        /** When something last showed that it goes on. */
+        long progressAt;
+        /** When the others were last told that it does. */
+        long toldAt;
+        SnapshotSender snapshot;
         boolean copying;
         boolean accepting;
         boolean settling;
@@ -119,6 +133,9 @@
         EpochRecord base;
         EpochRecord proposal;
         List<Berth> backups = List.of();
+        /** What the backups are told with the state: for how long others may still act, as seen when it was taken. */
+        long quiet;
+        long gives;
         final Set<String> copied = new HashSet<>();
         final Map<String, EpochRecord> promises = new HashMap<>();
         final Set<String> accepts = new HashSet<>();
@@ -146,8 +163,9 @@
                 record = EpochRecord.of(f.flag("record"));
                 promised = Math.max(promised, record.epoch());
                 known = record;
+                placeLost = true;
             }
-            case "state" -> hold.load(f, deck.now());
+            case "state" -> hold.load(unpacked(f), deck.now());
             case "claim", "free", "config", "worker", Assignments.KIND -> hold.apply(f, deck.now());
             default -> deck.event("event=journal_record_skipped kind=" + f.kind());
         }
@@ -155,6 +173,14 @@
         committedText = hold.text();
     }
 
+    private static Flag unpacked(Flag state) {
+        try {
+            return state.has("bale") ? Bale.unpack(state.bytes("bale")) : state;
+        } catch (SignalException e) {
+            throw new IllegalStateException("a state that was read back once before", e);
+        }
+    }
+
     /** What a fresh journal must begin with to stand for this one. */
     public List<Flag> journalBase() {
         List<Flag> out = new ArrayList<>();
@@ -264,11 +290,13 @@
             return;
         }
         if (candidacy != null) {
-            if (now - candidacy.startedAt > times.phase()) {
+            if (now - candidacy.progressAt > times.phase() || now - candidacy.startedAt > LONGEST_COPY) {
                 abandon("timeout");
             } else if (!candidacy.copying) {
                 leaveOutNewcomers(candidacy, now);
                 askPromises(candidacy, candidacy.base);
+            } else if (candidacy.snapshot != null && !candidacy.accepting) {
+                copyOn(candidacy, now);
             }
             return;
         }
@@ -679,6 +707,7 @@
         long top = Math.max(Math.max(promised, highestSeen), known.epoch());
         c.epoch = (top / EPOCH_STEP + 1) * EPOCH_STEP + Math.max(0, known.indexOf(self.diskId()));
         c.startedAt = deck.now();
+        c.progressAt = c.startedAt;
         c.members = members;
         c.base = known;
         candidacy = c;
@@ -791,16 +820,50 @@
         long now = deck.now();
         long quiet = Math.max(0, quietUntil - now);
         long gives = Math.max(0, (leading ? givingFrom : nextGivingFrom()) - now);
-        Flag state = hold.snapshot();
+        // Nothing changes from here until the epoch has begun: what comes meanwhile waits.
+        c.snapshot = new SnapshotSender(deck.random(Long.MAX_VALUE - 1) + 1, hold.snapshot());
+        c.progressAt = deck.now();
+        c.toldAt = c.progressAt;
+        c.quiet = quiet;
+        c.gives = gives;
+        c.backups.forEach(b -> sendPieces(c, b, c.snapshot.due(b.diskId(), c.progressAt)));
+    }
+
+    private void sendPieces(Candidacy c, Berth to, List<Flag> pieces) {
+        pieces.forEach(p -> deck.send(to.address(), p.with("epoch", c.epoch).with("to", to.diskId())
+                .with("quiet", c.quiet).with("gives", c.gives).with("from", self.address())));
+    }
+
+    private void copyOn(Candidacy c, long now) {
         for (Berth b : c.backups) {
-            deck.send(b.address(), new Flag("snap").with("epoch", c.epoch).with("to", b.diskId())
-                    .with("state", state).with("quiet", quiet).with("gives", gives)
-                    .with("from", self.address()));
+            if (!c.copied.contains(b.diskId())) {
+                sendPieces(c, b, c.snapshot.again(b.diskId(), now, times.diskStall()));
+            }
+        }
+        if (now - c.toldAt > times.phase() / 3) {
+            // A copy may last; those who promised this epoch must not take its candidate for dead.
+            c.toldAt = now;
+            tellMembers(new Flag("copying").with("epoch", c.epoch));
+        }
+    }
+
+    private void pieceHeld(Candidacy c, Flag f) {
+        long now = deck.now();
+        if (!c.snapshot.acknowledged(f.text("id"), f.number("snapshot"), (int) f.number("held"), now)) {
+            return;
+        }
+        c.progressAt = now;
+        for (Berth b : c.backups) {
+            if (b.diskId().equals(f.text("id"))) {
+                sendPieces(c, b, c.snapshot.due(b.diskId(), now));
+            }
         }
     }
 
     private void propose(Candidacy c) {
         c.accepting = true;
+        c.progressAt = deck.now();
+        c.snapshot = null;
         c.proposal = new EpochRecord(c.base.fleet(), c.epoch, self, c.backups, c.members, c.base.target());
         EpochRecord p = c.proposal;
         accept(p, ok -> {
@@ -912,7 +975,17 @@
                     abandon("outbid");
                 }
             }
-            case "snap" -> onSnapshot(f);
+            case "snappiece" -> onPiece(f);
+            case "snapheld" -> {
+                if (candidacy != null && candidacy.epoch == f.number("epoch") && candidacy.snapshot != null) {
+                    pieceHeld(candidacy, f);
+                }
+            }
+            case "copying" -> {
+                if (promised == f.number("epoch") && promised == promisedTo) {
+                    leaveTo(deck.now());
+                }
+            }
             case "snapok" -> {
                 Candidacy c = candidacy;
                 if (c != null && c.epoch == f.number("epoch") && c.copying && !c.accepting) {
@@ -1011,9 +1084,20 @@
         });
     }
 
-    private void onSnapshot(Flag f) {
+    /** Another is about to begin an epoch, and is given the time for it. */
+    private void leaveTo(long now) {
+        primaryHeard = now;
+        nextRun = Math.max(nextRun, now + times.phase() + deck.random(300_000));
+    }
+
+    private void onPiece(Flag f) {
         long e = f.number("epoch");
-        if (!self.diskId().equals(f.text("to")) || e < promised) {
+        if (!self.diskId().equals(f.text("to"))) {
+            return;
+        }
+        if (e < promised) {
+            deck.send(f.text("from"), new Flag("nack").with("promised", promised)
+                    .with("record", record == null ? null : record.toFlag()));
             return;
         }
         promised = e;
@@ -1021,22 +1105,52 @@
             stepDown("took_snapshot");
         }
         candidacy = null;
-        Flag state = f.flag("state");
+        leaveTo(deck.now());
+        long snapshot = f.number("snapshot");
+        if (snapshot == installed) {
+            // The word of it was lost. It follows the state to the disk.
+            write(new Flag("promise").with("epoch", e), ok -> taken(ok, f));
+            return;
+        }
+        if (arriving == null || !arriving.of(snapshot)) {
+            arriving = new SnapshotReceiver(snapshot);
+        }
+        int held = arriving.take(f);
+        deck.send(f.text("from"), new Flag("snapheld").with("epoch", e).with("id", self.diskId())
+                .with("snapshot", snapshot).with("held", held));
+        if (arriving.whole()) {
+            byte[] packed = arriving.packed();
+            arriving = null;
+            install(f, packed);
+        }
+    }
+
+    private void install(Flag f, byte[] packed) {
+        Flag state;
+        try {
+            state = Bale.unpack(packed);
+        } catch (SignalException x) {
+            // What was held before stays; the candidate hears nothing and goes on without this member.
+            deck.event("event=snapshot_unreadable epoch=" + f.number("epoch") + " cause=" + x.getMessage());
+            return;
+        }
         long now = deck.now();
         quietUntil = Math.max(quietUntil, now + f.number("quiet"));
         formerSince = now + f.number("gives");
         hold.load(state, now);
         committedRevision = hold.revision();
         committedText = hold.text();
-        primaryHeard = now;
-        write(new Flag("promise").with("epoch", e), ok -> { });
-        write(state, ok -> {
-            if (ok) {
-                deck.send(f.text("from"), new Flag("snapok").with("epoch", e).with("id", self.diskId()));
-            } else {
-                diskFailed();
-            }
-        });
+        installed = f.number("snapshot");
+        write(new Flag("promise").with("epoch", f.number("epoch")), ok -> { });
+        write(new Flag("state").with("bale", packed), ok -> taken(ok, f));
+    }
+
+    private void taken(boolean ok, Flag f) {
+        if (ok) {
+            deck.send(f.text("from"), new Flag("snapok").with("epoch", f.number("epoch")).with("id", self.diskId()));
+        } else {
+            diskFailed();
+        }
     }
 
     private void onAccept(Flag f) {
@@ -1076,6 +1190,7 @@
         record = r;
         promised = Math.max(promised, r.epoch());
         lastSeq = 0;
+        placeLost = false;
         primaryHeard = deck.now();
         write(new Flag("accept").with("record", r.toFlag()), done);
     }
@@ -1089,7 +1204,9 @@
         }
         primaryHeard = deck.now();
         long n = f.number("seq");
-        if (n > lastSeq + 1) {
+        if (placeLost || n > lastSeq + 1) {
+            // Said at once: only another epoch, which copies the state, makes this one a backup again.
+            lostPlace(from, e);
             return;
         }
         List<Flag> entries = f.flags("entries");
@@ -1115,6 +1232,12 @@
         committedText = hold.text();
     }
 
+    private void lostPlace(String from, long e) {
+        deck.event("event=place_lost epoch=" + e);
+        deck.send(from, new Flag("repno").with("epoch", e).with("promised", promised).with("id", self.diskId())
+                .with("record", record.toFlag()));
+    }
+
     private void onReplicated(Flag f) {
         if (!leading() || record.epoch() != f.number("epoch")) {
             return;
@@ -1147,6 +1270,9 @@
             if (promised == e) {
                 follows = true;
                 quietUntil = Math.max(quietUntil, deck.now() + times.authority());
+                if (placeLost && record.rankOf(self.diskId()) >= 0) {
+                    lostPlace(from, e);
+                }
             }
         }
         deck.send(from, new Flag("pong").with("at", follows ? f.number("at") : null).with("id", self.diskId())
