What a failed request proves, state by state; a repeat never goes where its id went before

A worker may answer twice, the second time later: a request that comes back under its id (the owner of a key tried again, a message delivered again) took such an answer for its own run's. Given up before a byte was written it has not run, and its key is freed.

--- a/src/main/java/org/otterpond/cargo/Attempt.java
+++ b/src/main/java/org/otterpond/cargo/Attempt.java
@@ -13,6 +13,11 @@
         this.sentAt = sentAt;
     }
 
+    /** Gives it up. Whether the worker may have it: a byte that the kernel took may arrive yet, others never will. */
+    boolean abandon() {
+        return tender != null && tender.abandon();
+    }
+
     long sentAt() {
         return sentAt;
     }
--- a/src/main/java/org/otterpond/cargo/Passage.java
+++ b/src/main/java/org/otterpond/cargo/Passage.java
@@ -37,6 +37,8 @@
     boolean freed;
     /** Whether a token of the tenant's quota is taken for the next run. */
     boolean paid;
+    /** Whether the outcome of a keyed run, known or not, is kept for repeats. */
+    boolean settled;
     /** True once a byte of the request may have reached a worker that has not disowned it. */
     boolean mayHaveRun;
 
--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -56,6 +56,9 @@
     private static final Set<String> OWN = Set.of(TIME_LEFT.toLowerCase(Locale.ROOT),
             EXPECTED.toLowerCase(Locale.ROOT), TENANT.toLowerCase(Locale.ROOT));
 
+    /** Headers that neither side may declare to be of one connection only: whose answer it is follows from them. */
+    private static final String ANSWERS_ARE_KNOWN_BY = "x-otterpond-";
+
     private static final long DEFAULT_AIM = 400_000;
     private static final long CONNECT = 250_000;
     private static final long FULL_SHUN = 60_000;
@@ -72,8 +75,10 @@
     /** A request earns this much of the ratio, as it can be spent in its own window or in the next. */
     private static final double EARNED = 0.45;
     private static final String BEARER = "Bearer ";
+    private static final String RELEASE = "/-/release";
     private static final long OWNER_AGAIN = 25_000;
     private static final long WORK_ASKED_AGAIN = 100_000;
+    private static final long UNRUN_ASKED_AGAIN = 10_000;
 
     private final Quay quay;
     private final Settings settings;
@@ -83,6 +88,7 @@
     private final long life;
     private final Tally tally;
     private final Locker locker;
+    private final UnrunClaims unrun;
     private final Stores stores;
     private final Intake intake;
     private final RangeTable ranges = new RangeTable();
@@ -106,7 +112,9 @@
         this.settings = settings;
         this.life = life;
         this.tally = tally;
-        this.locker = new Locker(settings.keyWindowMicros() + 10_000_000, Runtime.getRuntime().maxMemory() / 4);
+        long remembered = settings.keyWindowMicros() + 10_000_000;
+        this.locker = new Locker(remembered, Runtime.getRuntime().maxMemory() / 4);
+        this.unrun = new UnrunClaims(remembered);
         this.random = new Random(ThreadLocalRandom.current().nextLong());
         this.fairways = new Fairways(quay, settings, random, this::wake);
         this.node = nodeFor.apply(this);
@@ -213,13 +221,15 @@
     @Override
     public void callWorker(String address, String instance, String path, String body, long timeout,
             java.util.function.Consumer<KeeperHost.Answer> answer) {
-        workerCalls.call(address, instance, path, body, timeout, answer);
+        // A release that is taken for answered gives the keys away; a grant that is only costs refusals.
+        workerCalls.call(address, instance, path, body, timeout, path.equals(RELEASE), answer);
     }
 
     @Override
     public Flag outcome(String key, String token) {
         Flag kept = locker.get(key, token);
-        return kept != null ? kept : atWork.contains(token) ? new Flag("working") : null;
+        return kept != null ? kept : atWork.contains(token) ? new Flag("working")
+                : unrun.holds(token) ? new Flag("unrun") : null;
     }
 
     @Override
@@ -465,7 +475,12 @@
         }
         p.finished = true;
         inHand.remove(p);
-        p.timer.cancel();
+        if (p.open.isEmpty()) {
+            p.timer.cancel();
+        }
+        if (p.keyed() && !p.settled) {
+            unrun.add(p.token, Quay.now());
+        }
         if (p.hedge != null) {
             p.hedge.cancel();
         }
@@ -478,21 +493,25 @@
     }
 
     private void deadline(Passage p) {
-        if (!p.finished) {
-            tally.timeouts.increment();
-            giveUp(p, Replies.problem(504, "no answer in time"));
+        if (p.finished) {
+            // Another attempt was answered; this one's worker has had its time.
+            abandonOpen(p);
+            return;
         }
+        tally.timeouts.increment();
+        giveUp(p, Replies.problem(504, "no answer in time"));
     }
 
-    /** Ends it with attempts open, if any: they may run or have run, and that is never known. */
-    private void giveUp(Passage p, Missive answer) {
+    private void abandonOpen(Passage p) {
         for (Attempt a : List.copyOf(p.open)) {
-            p.mayHaveRun = true;
             release(p, a);
-            if (a.tender != null) {
-                a.tender.abandon();
-            }
+            p.mayHaveRun |= a.abandon();
         }
+    }
+
+    /** Ends it with attempts open, if any: they may run or have run, and that is never known. */
+    private void giveUp(Passage p, Missive answer) {
+        abandonOpen(p);
         if (p.keyed()) {
             settleUnknown(p);
         }
@@ -576,18 +595,22 @@
     /** Another try of the operation claimed the key: the node that did so knows how it went. */
     private void replayFrom(Passage p, String holder, String run) {
         if (holder == null || holder.isEmpty() || holder.equals(settings.internalAddress())) {
-            replayed(p, outcome(p.key, run));
+            replayed(p, run, outcome(p.key, run));
             return;
         }
         node.fetch(holder, p.key, run, Math.min(FETCH, Math.max(LEAST_LEFT, p.deadline() - Quay.now() - LEAST_LEFT)),
-                a -> replayed(p, a));
+                a -> replayed(p, run, a));
     }
 
-    private void replayed(Passage p, Flag a) {
+    private void replayed(Passage p, String run, Flag a) {
         if (p.finished) {
             return;
         }
-        if (a == null || a.kind().equals("unknown")) {
+        if (a != null && a.kind().equals("unrun")) {
+            // The ledger holds a claim that its own node has given up. Freed first, on the connection that claims go on.
+            free(p.key, run, r -> { });
+            quay.after(UNRUN_ASKED_AGAIN, () -> again(p));
+        } else if (a == null || a.kind().equals("unknown")) {
             finish(p, Replies.problem(502, "an earlier try of this operation has no known outcome"));
         } else if (a.kind().equals("answer")) {
             tally.replays.increment();
@@ -602,8 +625,12 @@
 
     private void free(Passage p) {
         p.freed = true;
-        node.ask(new Flag("ask").with("op", "free").with("key", p.key).with("token", p.token), 3_000_000, 400_000,
-                r -> atWork.remove(p.token));
+        free(p.key, p.token, r -> atWork.remove(p.token));
+    }
+
+    /** Takes a claim out of the ledger that nothing ran under; a claim of another token stays. */
+    private void free(String key, String token, java.util.function.Consumer<Flag> told) {
+        node.ask(new Flag("ask").with("op", "free").with("key", key).with("token", token), 3_000_000, 400_000, told);
     }
 
     private void settleUnknown(Passage p) {
@@ -621,6 +648,7 @@
 
     /** Keeps the outcome for repeats: the ledger names this node as the one that knows it. */
     private void settle(Passage p, Flag outcome) {
+        p.settled = true;
         locker.put(p.key, p.token, outcome, Quay.now());
         atWork.remove(p.token);
     }
@@ -732,7 +760,7 @@
         }
         for (Header h : from.headers().getHeaders()) {
             String n = h.getName().toLowerCase(Locale.ROOT);
-            if (HOP.contains(n) || named.contains(n)) {
+            if (HOP.contains(n) || named.contains(n) && !n.startsWith(ANSWERS_ARE_KNOWN_BY) && !n.equals("host")) {
                 continue;
             }
             if (request && OWN.contains(n)) {
@@ -757,6 +785,7 @@
         boolean notRun = m.first(NOT_EXECUTED) != null || m.status() == 421;
         boolean success = m.status() / 100 == 2;
         if (!notRun) {
+            p.mayHaveRun = true;
             h.worked(Quay.now());
             p.fairway.pace.answered(Quay.now() - a.sentAt());
         }
@@ -790,14 +819,20 @@
             }
             return;
         }
+        boolean promises = m.status() == 503 || m.status() == 429 || m.status() == 408;
         if (p.keyed()) {
-            settleDone(p, m);
+            if (promises) {
+                // Nor may a repeat be told so.
+                settle(p, new Flag("unknown"));
+            } else {
+                settleDone(p, m);
+            }
         }
         if (p.repeatable() && m.status() >= 500 && m.status() != 504) {
             anotherOr(p, true, () -> finish(p, forward(m)));
             return;
         }
-        if (m.status() == 503 || m.status() == 429 || m.status() == 408) {
+        if (promises) {
             // It has run, or may have: these words would promise that it has not.
             if (p.repeatable()) {
                 finish(p, forward(m));
@@ -813,7 +848,7 @@
     private static Missive forward(Missive m) {
         Missive out = Missive.response(m.status()).body(m.body());
         copyHeaders(m, out, false);
-        if (m.body().length == 0 && m.first("Content-Length") != null) {
+        if (m.body().length == 0 && m.first("Content-Length") != null && m.status() != 204 && m.status() != 304) {
             out.header("Content-Length", m.first("Content-Length"));
         }
         return out;
--- a/src/main/java/org/otterpond/cargo/WorkerCalls.java
+++ b/src/main/java/org/otterpond/cargo/WorkerCalls.java
@@ -35,9 +35,14 @@
         this.quay = quay;
     }
 
-    /** One connection pool for each life of a worker: what is on its way to one must not reach the next. */
+    /**
+     * One connection pool for each life of a worker: what is on its way to one must not reach the next.
+     *
+     * @param alone on a connection that nothing was asked on before. Workers do not say which call an answer is to, and
+     *     a second answer to an earlier call must not stand for this one's
+     */
     void call(String address, String instance, String path, String body, long timeout,
-            Consumer<KeeperHost.Answer> answer) {
+            boolean alone, Consumer<KeeperHost.Answer> answer) {
         Line line;
         try {
             line = lines.computeIfAbsent(address + " " + instance, a -> {
@@ -64,7 +69,7 @@
                 answer.accept(new KeeperHost.Answer(0, null, true));
             }
         });
-        tender[0] = line.pool.send(m, timeout, Long.MAX_VALUE, new Reception() {
+        tender[0] = line.pool.send(m, timeout, alone ? TenderPool.NEW_ONLY : Long.MAX_VALUE, new Reception() {
             @Override
             public void answered(Missive r) {
                 if (!done[0]) {
--- a/src/main/java/org/otterpond/quay/Tender.java
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -24,6 +24,7 @@
     private Reception reception;
     /** What the answer must bring back of the request in hand. */
     private String echo;
+    private final RecentIds carried = new RecentIds();
     private Quay.Timer connectTimer;
     private long usableUntil;
     private long idleSince;
@@ -62,6 +63,11 @@
         }
     }
 
+    /** Whether it carried a request of this id before, whose second answer might come late. */
+    boolean mayHaveCarried(String id) {
+        return carried.mayHold(id);
+    }
+
     long idleSince() {
         return idleSince;
     }
@@ -73,6 +79,7 @@
     void send(Missive request, Reception r) {
         reception = r;
         echo = request.first(pool.echoed());
+        carried.add(echo);
         writtenBefore = out.written();
         reader.expect(request.method().equals("HEAD"));
         out.add(OutBuffer.encode(request, true, null));
@@ -149,10 +156,20 @@
         r.answered(answer);
     }
 
-    /** Gives the request up and the connection with it. */
-    public void abandon() {
+    /**
+     * Gives the request up and the connection with it.
+     *
+     * @return whether any byte of it may have reached the worker; what the socket has not taken by now never goes
+     */
+    public boolean abandon() {
         reception = null;
         close("abandoned");
+        return anyWritten();
+    }
+
+    /** The kernel has taken a byte of the request in hand. What it has taken may arrive, whatever happens here. */
+    private boolean anyWritten() {
+        return out.written() > writtenBefore;
     }
 
     void close(String why) {
@@ -173,7 +190,7 @@
         Reception r = reception;
         reception = null;
         if (r != null) {
-            r.failed(out.written() > writtenBefore, why);
+            r.failed(anyWritten(), why);
         }
     }
 }
--- a/src/main/java/org/otterpond/quay/TenderPool.java
+++ b/src/main/java/org/otterpond/quay/TenderPool.java
@@ -5,10 +5,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 
 /** The connections of this node to one life of a worker. */
 public final class TenderPool {
+    /** For {@link #send}: on a new connection, on which no answer to anything else can come. */
+    public static final long NEW_ONLY = -1;
     private static final long IDLE_UNTOLD = 4_000_000;
     private static final long IDLE_MARGIN = 1_300_000;
 
@@ -44,15 +47,10 @@
      *     what is sent on it then is lost without proof of not having run
      */
     public Tender send(Missive request, long connectMicros, long idleMost, Reception r) {
-        long now = Quay.now();
-        Tender t;
-        while ((t = idle.peekLast()) != null && now - t.idleSince() <= idleMost) {
-            idle.pollLast();
-            if (t.usable(now)) {
-                t.send(request, r);
-                return t;
-            }
-            t.close("stale");
+        Tender t = kept(request.first(echoed), idleMost);
+        if (t != null) {
+            t.send(request, r);
+            return t;
         }
         try {
             t = new Tender(quay, this, address, connectMicros);
@@ -66,6 +64,27 @@
         return t;
     }
 
+    /** The connection that was used last, of those that can carry a request of this id; null if there is none. */
+    private Tender kept(String id, long idleMost) {
+        long now = Quay.now();
+        Iterator<Tender> it = idle.descendingIterator();
+        while (it.hasNext()) {
+            Tender t = it.next();
+            if (now - t.idleSince() > idleMost) {
+                return null;
+            }
+            if (t.mayHaveCarried(id)) {
+                continue;
+            }
+            it.remove();
+            if (t.usable(now)) {
+                return t;
+            }
+            t.close("stale");
+        }
+        return null;
+    }
+
     void free(Tender t) {
         if (closed) {
             t.close("pool_closed");
