--- a/src/main/java/org/otterpond/cargo/Pilotage.java
+++ b/src/main/java/org/otterpond/cargo/Pilotage.java
@@ -75,7 +75,6 @@
     /** A request earns this much of the ratio, as it can be spent in its own window or in the next. */
     private static final double EARNED = 0.45;
     private static final String BEARER = "Bearer ";
-    private static final String RELEASE = "/-/release";
     private static final long OWNER_AGAIN = 25_000;
     private static final long WORK_ASKED_AGAIN = 100_000;
     private static final long UNRUN_ASKED_AGAIN = 10_000;
@@ -221,8 +220,7 @@
     @Override
     public void callWorker(String address, String instance, String path, String body, long timeout,
             java.util.function.Consumer<KeeperHost.Answer> answer) {
-        // A release that is taken for answered gives the keys away; a grant that is only costs refusals.
-        workerCalls.call(address, instance, path, body, timeout, path.equals(RELEASE), answer);
+        workerCalls.call(address, instance, path, body, timeout, answer);
     }
 
     @Override
--- a/src/main/java/org/otterpond/cargo/WorkerCalls.java
+++ b/src/main/java/org/otterpond/cargo/WorkerCalls.java
@@ -14,6 +14,7 @@
 
 /** Calls to workers for the keeper of the key ranges, on connections of their own. */
 final class WorkerCalls {
+    private static final String RELEASE = "/-/release";
     private static final String TOKEN = "X-Otterpond-Lease-Transfer";
     private static final long ANSWER_BOUND = 64 * 1024;
     private static final long SWEEP = 2_000_000;
@@ -36,13 +37,13 @@
     }
 
     /**
-     * One connection pool for each life of a worker: what is on its way to one must not reach the next.
-     *
-     * @param alone on a connection that nothing was asked on before. Workers do not say which call an answer is to, and
-     *     a second answer to an earlier call must not stand for this one's
+     * One connection pool for each life of a worker: what is on its way to one must not reach the next. Workers do not
+     * say which call an answer is to, and a second answer to an earlier one must not stand for a release's, which gives
+     * the keys away: it goes on a connection on which nothing was asked before. A grant wrongly taken for answered only
+     * costs refusals.
      */
     void call(String address, String instance, String path, String body, long timeout,
-            boolean alone, Consumer<KeeperHost.Answer> answer) {
+            Consumer<KeeperHost.Answer> answer) {
         Line line;
         try {
             line = lines.computeIfAbsent(address + " " + instance, a -> {
@@ -69,7 +70,7 @@
                 answer.accept(new KeeperHost.Answer(0, null, true));
             }
         });
-        tender[0] = line.pool.send(m, timeout, alone ? TenderPool.NEW_ONLY : Long.MAX_VALUE, new Reception() {
+        tender[0] = line.pool.send(m, timeout, path.equals(RELEASE) ? TenderPool.NEW_ONLY : Long.MAX_VALUE, new Reception() {
             @Override
             public void answered(Missive r) {
                 if (!done[0]) {
--- a/src/test/java/org/otterpond/keel/ScriptedWorker.java
+++ b/src/test/java/org/otterpond/keel/ScriptedWorker.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 /** A worker whose every byte the test decides: it is given the request's text and gives the answer's. */
@@ -18,6 +19,8 @@
     static final String HANG_UP = "\u0000";
 
     private final ServerSocket server;
+    /** Connections that are up. */
+    final AtomicInteger open = new AtomicInteger();
     final List<String> requests = new CopyOnWriteArrayList<>();
     /** A connection idle for longer is ended at the next request, which nobody reads. */
     volatile long forgetsAfterNanos = Long.MAX_VALUE;
@@ -68,6 +71,7 @@
     }
 
     private void serve(Socket s) {
+        open.incrementAndGet();
         try (s) {
             InputStream in = s.getInputStream();
             OutputStream out = s.getOutputStream();
@@ -87,6 +91,8 @@
             }
         } catch (IOException e) {
             // The node hung up.
+        } finally {
+            open.decrementAndGet();
         }
     }
 
