A request that is given up is called back from the kernel

After a cut an ordinary close still had the kernel send it again for minutes, so a grant or a request could arrive long after the keeper or the client had counted it as over.

--- a/src/main/java/org/otterpond/quay/Gangway.java
+++ b/src/main/java/org/otterpond/quay/Gangway.java
@@ -222,11 +222,7 @@
 
     /** Breaks off so that nobody takes what went out for a whole answer. */
     void reset() {
-        try {
-            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-        } catch (IOException e) {
-            // It is closed just below either way.
-        }
+        Sockets.discard(channel);
         close();
     }
 
@@ -236,11 +232,7 @@
         }
         closed = true;
         key.cancel();
-        try {
-            channel.close();
-        } catch (IOException e) {
-            // Nothing is left to be done for it.
-        }
+        Sockets.close(channel);
         door.left(this);
         if (call != null) {
             call.gone();
--- a/src/main/java/org/otterpond/quay/Tender.java
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -159,9 +159,10 @@
     /**
      * Gives the request up and the connection with it.
      *
-     * @return whether any byte of it may have reached the worker; what the socket has not taken by now never goes
+     * @return whether any byte of it may have reached the worker; what has not reached it by now never does
      */
     public boolean abandon() {
+        Sockets.discard(channel);
         reception = null;
         close("abandoned");
         return anyWritten();
@@ -181,13 +182,14 @@
             connectTimer.cancel();
         }
         key.cancel();
-        try {
-            channel.close();
-        } catch (IOException e) {
-            // Nothing is left to be done for it.
+        Reception r = reception;
+        if (r != null) {
+            // What the worker has not got of the request by now must not reach it later.
+            Sockets.discard(channel);
+        } else {
+            Sockets.close(channel);
         }
         pool.left(this);
-        Reception r = reception;
         reception = null;
         if (r != null) {
             r.failed(anyWritten(), why);
