--- a/src/main/java/org/otterpond/quay/Tender.java
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -26,6 +26,7 @@
     private String echo;
     private final RecentIds carried = new RecentIds();
     private Quay.Timer connectTimer;
+    private long connectBy;
     private long usableUntil;
     private long idleSince;
     private long writtenBefore;
@@ -44,6 +45,7 @@
             channel.close();
             throw new IOException("connect", e);
         }
+        connectBy = Quay.now() + connectMicros;
         connectTimer = quay.after(connectMicros, () -> {
             if (!connected) {
                 close("connect_timeout");
@@ -101,6 +103,11 @@
         try {
             if (k.isConnectable()) {
                 channel.finishConnect();
+                if (Quay.now() > connectBy) {
+                    // This process stood still meanwhile: what is sent now may have been given up elsewhere.
+                    close("connect_timeout");
+                    return;
+                }
                 connected = true;
                 connectTimer.cancel();
                 flush();
--- a/src/test/java/org/otterpond/quay/TenderStatesTest.java
+++ b/src/test/java/org/otterpond/quay/TenderStatesTest.java
@@ -35,15 +35,16 @@
 
     private final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
     private Quay quay;
+    private Thread owner;
     private ServerSocket worker;
     private TenderPool pool;
 
     @BeforeEach
     void start() throws IOException {
         quay = new Quay();
-        Thread t = new Thread(quay, "owner");
-        t.setDaemon(true);
-        t.start();
+        owner = new Thread(quay, "owner");
+        owner.setDaemon(true);
+        owner.start();
         listen(50);
     }
 
@@ -61,13 +62,18 @@
 
     private <T> T onOwner(java.util.concurrent.Callable<T> task) throws Exception {
         CompletableFuture<T> done = new CompletableFuture<>();
-        quay.execute(() -> {
+        Runnable run = () -> {
             try {
                 done.complete(task.call());
             } catch (Exception e) {
                 done.completeExceptionally(e);
             }
-        });
+        };
+        if (Thread.currentThread() == owner) {
+            run.run();
+        } else {
+            quay.execute(run);
+        }
         return done.get(5, TimeUnit.SECONDS);
     }
 
@@ -158,6 +164,26 @@
         }
     }
 
+    /** As after a freeze: the connection came up in time, and was not looked at until its time was over. */
+    @Test
+    void nothingIsSentOnAConnectionThatWasSeenTooLate() throws Exception {
+        CompletableFuture<Boolean> sent = new CompletableFuture<>();
+        quay.execute(() -> {
+            try {
+                send("a", 10);
+                sent.complete(true);
+                TimeUnit.MILLISECONDS.sleep(400);
+            } catch (Exception e) {
+                sent.completeExceptionally(e);
+            }
+        });
+        assertTrue(sent.get(5, TimeUnit.SECONDS));
+        Socket s = accept();
+        assertEquals(UNSENT, told());
+        assertEquals(0, s.getInputStream().available());
+        assertTrue(ended(s));
+    }
+
     /** The kernel holds a part and the worker has read none of it: it may yet. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
