--- a/src/test/java/org/otterpond/harbour/NarrowCore.java
+++ b/src/test/java/org/otterpond/harbour/NarrowCore.java
@@ -113,7 +113,7 @@
 
         void start() {
             life++;
-            watch = new Watch(this, WatchTimes.standard(), this, berth, new Hold(60_000_000), faults);
+            watch = new Watch(this, WatchTimes.standard(), this, berth, new Hold(60_000_000), LossTolerance.ofMachines(faults));
             journal.forEach(b -> watch.replay(decoded(b)));
             tick(life);
         }
