A group's late word of its own version no longer brings back whom the manager stopped wanting

The answer to a primary's proposal came after the news that another machine was wanted, said the older list for the same version, and was taken; the machine it named could not be brought up to date, nobody asked for another. The answer had always been ahead of the news by a few milliseconds; the proof before it turned the order round, a lost answer could have before. Change: who is wanted is taken from the manager's news alone, which come in order; an answer that follows a commit needs no proof of its own.

--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -403,10 +403,11 @@
                     }
                 });
             }
-            case "reconfigure" -> placement.reconfigure(ask, watch.hold().assignments(), committed, proved(reply));
+            case "reconfigure" -> placement.reconfigure(ask, watch.hold().assignments(), committed, reply,
+                    proved(reply));
             case "candidate-failed" -> placement.candidateFailed(ask, watch.hold().assignments(), proved(reply));
             case "retire" -> placement.retire(ask.text("node"), stores(), watch.hold().assignments(), committed,
-                    proved(reply));
+                    reply, proved(reply));
             case "retired" -> proved(reply).accept(Placement.retired(ask.text("node"), committed));
             case "write" -> write(ask, reply);
             case "read" -> watch.confirm(ok -> {
--- a/src/main/java/org/otterpond/harbour/Placement.java
+++ b/src/main/java/org/otterpond/harbour/Placement.java
@@ -244,13 +244,18 @@
 
     // ------------------------------------------------------------- proposals
 
-    /** Installs a proposed configuration if it builds on the version in force; else tells the one in force. */
-    void reconfigure(Flag ask, Assignments held, Assignments committed, Consumer<Flag> reply) {
+    /**
+     * Installs a proposed configuration if it builds on the version in force; else tells the one in force.
+     *
+     * @param proved for an answer that rests on what is held, and is no commit
+     */
+    void reconfigure(Flag ask, Assignments held, Assignments committed, Consumer<Flag> reply,
+            Consumer<Flag> proved) {
         GroupView proposed = GroupView.of(ask.flag("view"));
         String key = PARTITION + proposed.group();
         Flag now = held.get(key);
         if (now == null) {
-            reply.accept(new Flag("reply"));
+            proved.accept(new Flag("reply"));
             return;
         }
         GroupView current = GroupView.of(now);
@@ -258,7 +263,7 @@
             Flag told = committed.get(key);
             // What is not committed yet is nobody's to know; the proposer asks again.
             if (told != null && told.number("no") == now.number("no")) {
-                reply.accept(new Flag("reply").with("view", GroupView.of(told).toFlag("view")));
+                proved.accept(new Flag("reply").with("view", GroupView.of(told).toFlag("view")));
             }
             return;
         }
@@ -290,23 +295,24 @@
 
     // -------------------------------------------------------------- retiring
 
-    void retire(String node, List<Store> stores, Assignments held, Assignments committed, Consumer<Flag> reply) {
+    void retire(String node, List<Store> stores, Assignments held, Assignments committed, Consumer<Flag> reply,
+            Consumer<Flag> proved) {
         Flag begun = held.get(RETIRING + node);
         Store store = stores.stream().filter(s -> s.name().equals(node)).findFirst().orElse(null);
         if (begun != null && (store == null || store.disk().equals(begun.text("disk")))) {
             if (committed.get(RETIRING + node) != null) {
-                reply.accept(new Flag("reply").with("status", 200));
+                proved.accept(new Flag("reply").with("status", 200));
             }
             // Else it is being written, and the asker asks again.
             return;
         }
         if (store == null) {
-            reply.accept(new Flag("reply").with("status", 404));
+            proved.accept(new Flag("reply").with("status", 404));
             return;
         }
         long left = usable(stores, held).stream().filter(s -> !s.name().equals(node)).count();
         if (left < copies) {
-            reply.accept(new Flag("reply").with("status", 409));
+            proved.accept(new Flag("reply").with("status", 409));
             return;
         }
         writer.assign(new Flag(Assignments.KIND).with("key", RETIRING + node).with("disk", store.disk())
--- a/src/main/java/org/otterpond/replica/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replica/ReplicaGroup.java
@@ -146,13 +146,21 @@
 
     // --------------------------------------------------------- configuration
 
-    /** Takes a configuration that the manager has installed, from wherever it was heard. */
+    /** Takes the manager's news, which come in its order. */
     public void learn(GroupView v) {
-        if (view != null && v.version() < view.version()) {
-            return;
-        }
         if (view != null && v.version() == view.version()) {
             view = view.wanting(v.wanted());
+        } else {
+            hear(v);
+        }
+    }
+
+    /**
+     * Takes a configuration that the manager has installed, from wherever it was heard. Who is wanted may change within
+     * a version: what is heard of the version in force may be older than the news, and says nothing new.
+     */
+    private void hear(GroupView v) {
+        if (view != null && v.version() <= view.version()) {
             return;
         }
         boolean wasPrimary = primary();
@@ -224,7 +232,7 @@
         host.propose(next, v -> {
             proposing = false;
             if (v != null) {
-                learn(v);
+                hear(v);
             }
         });
     }
@@ -571,7 +579,7 @@
             tellView(got.primary(), got);
             boolean gone = !got.primary().equals(me);
             if (got.version() > view.version()) {
-                learn(got);
+                hear(got);
             }
             if (!gone) {
                 handingOver = false;
@@ -651,7 +659,7 @@
 
     public void onMessage(String from, Flag f) {
         switch (f.kind()) {
-            case "g.view" -> learn(GroupView.of(f.flag("view")));
+            case "g.view" -> hear(GroupView.of(f.flag("view")));
             case "g.reconcile" -> onReconcile(f);
             case "g.prepare" -> onPrepare(f);
             case "g.copy" -> onCopy(f);
@@ -663,7 +671,7 @@
 
     private void onReconcile(Flag f) {
         GroupView v = GroupView.of(f.flag("view"));
-        learn(v);
+        hear(v);
         if (view.version() != v.version() || !secondary() || !whole || broken) {
             if (view.version() > v.version()) {
                 tellView(v.primary(), view);
@@ -778,7 +786,7 @@
         if (view == null) {
             view = v;
         } else {
-            learn(v);
+            hear(v);
         }
         if (view.version() != v.version() || view.has(me)) {
             return;
--- a/src/test/java/org/otterpond/sim/ReplicaGroupTest.java
+++ b/src/test/java/org/otterpond/sim/ReplicaGroupTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.otterpond.replica.GroupTimes;
+import org.otterpond.replica.GroupView;
+import org.otterpond.signal.Flag;
 
 /** The replica group against its source: one history, one primary, nothing acknowledged lost; and breaks are noticed. */
 class ReplicaGroupTest {
@@ -125,6 +127,21 @@
         assertEquals(List.of(), g.broken, () -> String.join("\n", g.world.log));
     }
 
+    /** The manager's word of whom to take in is newer than what an answer or another member says of the same version. */
+    @Test
+    void lateWordOfTheVersionInForceDoesNotBringBackWhoIsNoLongerWanted() {
+        SimGroup g = new SimGroup(35, 3);
+        g.world.run(2 * S);
+        for (SimGroup.Member m : g.members.values()) {
+            GroupView old = m.group.view();
+            List<String> wanted = List.of(old.primary(), "newcomer@x:1");
+            m.group.learn(old.wanting(wanted));
+            m.group.onMessage(old.primary(), new Flag("g.view").with("group", old.group()).with("view",
+                    old.toFlag("view")));
+            assertEquals(wanted, m.group.view().wanted());
+        }
+    }
+
     @Test
     void graceBelowTheLeaseIsRefused() {
         assertThrows(IllegalArgumentException.class, () -> new GroupTimes(100_000, 500_000, 505_000, 1, 1));
