--- a/src/test/java/org/otterpond/sim/SecondLossTest.java
+++ b/src/test/java/org/otterpond/sim/SecondLossTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.otterpond.harbour.EpochRecord;
 import org.otterpond.harbour.LossTolerance;
 
@@ -182,6 +183,38 @@
         });
     }
 
+    /** Cut in two between promise and acceptance, or anywhere near: two of the members make no epoch. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void noEpochBeginsWithoutMajoritiesOfTheOldAndTheNew(boolean grows) {
+        for (long offset = 0; offset < 12_000; offset += 500) {
+            SimFleet f = fleet(620, grows ? 3 : 5, 1);
+            SimNode primary = f.leader();
+            SimNode backup = backup(f);
+            MembershipChecker epochs = new MembershipChecker(f);
+            int from = f.world.log.size();
+            if (grows) {
+                join(f, "e1:1", "z");
+            } else {
+                backup.kill();
+            }
+            while (f.world.log.subList(from, f.world.log.size()).stream().noneMatch(l -> l.contains("=candidacy "))) {
+                f.world.run(100);
+            }
+            f.world.run(offset);
+            SimNode with = grows ? backup : f.disks.stream().filter(d -> d != primary && d != backup).findFirst()
+                    .orElseThrow();
+            f.disks.stream().filter(d -> d != primary && d != with).forEach(d -> {
+                f.world.cut(primary.address, d.address);
+                f.world.cut(with.address, d.address);
+            });
+            f.world.run(2 * S);
+            assertEquals(List.of(), epochs.broken, f::tail);
+            f.world.heal();
+            whole(f, SYNC, 1);
+        }
+    }
+
     /** Two disks in each of four zones: wherever the primary is, its zone goes with the disks in it. */
     @ParameterizedTest
     @CsvSource({"1,0", "0,1"})
