--- a/src/test/java/org/otterpond/sim/SecondLossTest.java
+++ b/src/test/java/org/otterpond/sim/SecondLossTest.java
@@ -356,18 +356,19 @@
     void memberThatAnswersLateStaysOne() {
         SimFleet f = fleet(600, 4, 1);
         join(f, "e1:1", "z");
-        f.world.run(2 * S);
-        assertEquals(5, record(f).members().size(), f::tail);
+        join(f, "e2:1", "z");
+        f.world.run(SYNC);
+        assertEquals(6, record(f).members().size(), f::tail);
         SimNode late = f.disks.stream().filter(d -> !record(f).inGroup(d.disk.id)).findFirst().orElseThrow();
         f.leader().kill();
         f.world.cutOff(late.address);
         while (f.leader() == null) {
             f.world.run(1_000);
         }
-        f.world.run(200_000);
-        f.world.heal();
         f.world.run(S);
         assertTrue(record(f).hasMember(late.disk.id), f::tail);
+        f.world.heal();
+        whole(f, SYNC, 1);
     }
 
     @Test
