After a refused write no later one is answered before the disk holds everything

A record of an epoch whose write was refused was vouched for when it was asked for again: the answer rested on a promise written after it. RefusedWriteTest fails without this.

--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -83,6 +83,7 @@
     private long lastGossip;
     private final Set<String> excluded = new HashSet<>();
     private boolean diskBad;
+    private boolean refusedSinceProbe;
     private boolean retired;
     private long oldestPendingWrite;
     private int pendingWrites;
@@ -1154,7 +1155,18 @@
 
     // ------------------------------------------------------------------ disk
 
+    /**
+     * Writes a record. After one that was refused none counts before the disk holds everything again: what is said of
+     * a later record may rest on the one that is missing.
+     */
     private void write(Flag f, Consumer<Boolean> done) {
+        journal(f, ok -> {
+            refusedSinceProbe |= !ok;
+            done.accept(ok && !diskBad);
+        });
+    }
+
+    private void journal(Flag f, Consumer<Boolean> done) {
         if (pendingWrites++ == 0) {
             oldestPendingWrite = deck.now();
         }
@@ -1186,13 +1198,14 @@
     private void probeDisk() {
         deck.after(500_000, () -> {
             List<Flag> all = journalBase();
+            refusedSinceProbe = false;
             boolean[] good = {true};
             for (int i = 0; i < all.size(); i++) {
                 boolean last = i == all.size() - 1;
-                write(all.get(i), ok -> {
+                journal(all.get(i), ok -> {
                     good[0] &= ok;
                     if (last) {
-                        probed(good[0]);
+                        probed(good[0] && !refusedSinceProbe);
                     }
                 });
             }
--- a/src/test/java/org/otterpond/harbour/NarrowCore.java
+++ b/src/test/java/org/otterpond/harbour/NarrowCore.java
@@ -104,6 +104,8 @@
         final Berth berth;
         final List<byte[]> journal = new ArrayList<>();
         Watch watch;
+        /** So many writes are refused from now on. */
+        int refusals;
         private int life;
         private long linkFree;
 
@@ -158,10 +160,13 @@
         public void journal(Flag record, Consumer<Boolean> done) {
             byte[] bytes = FlagCodec.encode(record);
             int of = life;
+            boolean refused = refusals-- > 0;
             at(1_000, () -> {
                 if (of == life) {
-                    journal.add(bytes);
-                    done.accept(true);
+                    if (!refused) {
+                        journal.add(bytes);
+                    }
+                    done.accept(!refused);
                 }
             });
         }
