--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -106,11 +106,20 @@
 
     /** Replays the journal; call before {@link #start()}. */
     public void replay(List<Flag> journal) {
+        journal.forEach(this::replay);
+        replayed();
+    }
+
+    /** Replays one record of it; {@link #replayed()} follows the last. */
+    public void replay(Flag record) {
         if (watch != null) {
-            journal.forEach(watch::replay);
-            if (watch.record() != null) {
-                learnt(watch.record());
-            }
+            watch.replay(record);
+        }
+    }
+
+    public void replayed() {
+        if (watch != null && watch.record() != null) {
+            learnt(watch.record());
         }
     }
 
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -65,8 +65,6 @@
     /** Names this node's unbroken time as primary; running totals of lent tokens belong to one term. */
     private long term;
     private long chandleryTicked;
-    private byte[] packedText;
-    private long packedRevision;
     private byte[] packedTable;
     private long packedVersion;
     private long packedAt;
@@ -239,7 +237,7 @@
             if (patch) {
                 news.with("base", lastChange.number("base")).with("change", lastChange.bytes("change"));
             } else {
-                news.with("text", packedText());
+                news.with("text", watch.packedText());
             }
         }
         if (table) {
@@ -302,14 +300,6 @@
         return FleetPlan.of(nodesVersion, polls);
     }
 
-    private byte[] packedText() {
-        if (packedRevision != watch.committedRevision()) {
-            packedText = Bale.pack(watch.committedText());
-            packedRevision = watch.committedRevision();
-        }
-        return packedText;
-    }
-
     /** The whole table as it goes to every node that has none; warm-up times in it are a moment old at the most. */
     private byte[] packedTable() {
         long now = deck.now();
@@ -462,7 +452,7 @@
             case "read" -> watch.confirm(ok -> {
                 if (ok) {
                     reply.accept(new Flag("reply").with("rev", watch.committedRevision())
-                            .with("text", watch.committedText() == null ? null : packedText()));
+                            .with("text", watch.packedText()));
                 }
             });
             case "status" -> watch.confirm(ok -> reply.accept(status(ok)));
@@ -664,7 +654,7 @@
         w.replies.add(reply);
         writing = w;
         String full = whole.toString();
-        boolean taken = watch.propose(new Flag("config").with("rev", revision).with("text", full)
+        boolean taken = watch.propose(PackedText.put(full, new Flag("config").with("rev", revision))
                 .with("digest", digest), () -> {
                     writing = null;
                     lastChange = kind.equals("modify")
--- a/src/main/java/org/otterpond/harbour/Hold.java
+++ b/src/main/java/org/otterpond/harbour/Hold.java
@@ -21,7 +21,7 @@
     private final long windowMicros;
 
     private long revision;
-    private String text;
+    private PackedText text;
     private final List<Flag> history = new ArrayList<>();
     private final Map<String, Known> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Claim> claims = new LinkedHashMap<>();
@@ -37,7 +37,7 @@
         return revision;
     }
 
-    String text() {
+    PackedText text() {
         return text;
     }
 
@@ -84,7 +84,7 @@
             }
             case "config" -> {
                 revision = entry.number("rev");
-                text = entry.text("text");
+                text = PackedText.of(entry);
                 history.add(new Flag("taken").with("rev", revision).with("digest", entry.text("digest")));
                 if (history.size() > HISTORY) {
                     history.remove(0);
@@ -123,7 +123,7 @@
             keys.add(c.token());
             keys.add(c.holder());
         });
-        return new Flag("state").with("rev", revision).with("text", text).withFlags("history", history)
+        return PackedText.put(text, new Flag("state").with("rev", revision)).withFlags("history", history)
                 .withFlags("workers", workers()).with("claims", keys)
                 .with("assignments", assignments.number() == 0 ? null : assignments.snapshot());
     }
@@ -131,7 +131,7 @@
     /** Replaces everything; windows of the claims begin anew. */
     void load(Flag state, long now) {
         revision = state.number("rev");
-        text = state.text("text");
+        text = PackedText.of(state);
         history.clear();
         history.addAll(state.flags("history"));
         workers.clear();
--- /dev/null
+++ b/src/main/java/org/otterpond/harbour/PackedText.java
@@ -0,0 +1,49 @@
+package org.otterpond.harbour;
+
+import org.otterpond.signal.Bale;
+import org.otterpond.signal.Flag;
+import org.otterpond.signal.SignalException;
+
+/** A configuration's text as it is kept, written and sent: packed, and unpacked only where it is read. */
+final class PackedText {
+    private static final String FIELD = "packed";
+
+    private final byte[] packed;
+    private String text;
+
+    private PackedText(byte[] packed) {
+        this.packed = packed;
+    }
+
+    /** The text that an entry or a state holds; null if it holds none. */
+    static PackedText of(Flag f) {
+        if (f.has(FIELD)) {
+            return new PackedText(f.bytes(FIELD));
+        }
+        // Journals of earlier versions hold it as it is.
+        return f.has("text") ? new PackedText(Bale.pack(f.text("text"))) : null;
+    }
+
+    static Flag put(String text, Flag into) {
+        return into.with(FIELD, Bale.pack(text));
+    }
+
+    static Flag put(PackedText text, Flag into) {
+        return into.with(FIELD, text == null ? null : text.packed);
+    }
+
+    byte[] packed() {
+        return packed;
+    }
+
+    String text() {
+        if (text == null) {
+            try {
+                text = Bale.unpackText(packed);
+            } catch (SignalException e) {
+                throw new IllegalStateException("a text that was packed here or arrived whole", e);
+            }
+        }
+        return text;
+    }
+}
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -61,7 +61,7 @@
     private final Map<Long, Confirmation> confirms = new HashMap<>();
     private long confirmNumber;
     private long committedRevision;
-    private String committedText;
+    private PackedText committedText;
 
     // As backup.
     /** Until then another may still act on its authority as primary. */
@@ -209,7 +209,12 @@
     }
 
     public String committedText() {
-        return committedText;
+        return committedText == null ? null : committedText.text();
+    }
+
+    /** The same as it goes to nodes; null if there is none. */
+    public byte[] packedText() {
+        return committedText == null ? null : committedText.packed();
     }
 
     /** Takes the founding record, decided by the seeds. Only a blank disk of the first start may. */
@@ -474,7 +479,7 @@
         for (Flag e : b.entries) {
             if (e.kind().equals("config")) {
                 committedRevision = e.number("rev");
-                committedText = e.text("text");
+                committedText = PackedText.of(e);
             }
         }
         b.committed.forEach(Runnable::run);
--- a/src/main/java/org/otterpond/keel/Keel.java
+++ b/src/main/java/org/otterpond/keel/Keel.java
@@ -73,14 +73,13 @@
             return;
         }
         Logbook logbook = null;
-        List<Flag> journal = List.of();
         String diskId = null;
         boolean blank = false;
         if (settings.dataDir() != null) {
             logbook = new Logbook(Path.of(settings.dataDir()));
-            journal = logbook.open();
-            blank = journal.isEmpty();
-            diskId = blank ? Long.toHexString(Math.abs(new SecureRandom().nextLong())) : journal.get(0).text("disk");
+            Flag base = logbook.open();
+            blank = base == null;
+            diskId = blank ? Long.toHexString(Math.abs(new SecureRandom().nextLong())) : base.text("disk");
             if (blank) {
                 makeIdentity(logbook, diskId);
             }
@@ -94,9 +93,11 @@
                 shore, terms()), life, tally);
         HarbourNode node = pilotage.node();
         Links links = new Links(quay, settings.internalAddress(), node::onMessage, node::peerLost);
-        deck.fit(links, logbook == null ? null : new Purser(quay, logbook, id, node::journalBase));
-        if (!journal.isEmpty()) {
-            node.replay(journal.subList(1, journal.size()));
+        deck.fit(links, logbook == null ? null : new Purser(quay, logbook, id, node::journalBase,
+                (long) settings.diskMb() << 20));
+        if (logbook != null) {
+            logbook.replay(node::replay);
+            node.replayed();
         }
         listen(node, tally);
         lastModified = file.toFile().lastModified();
--- a/src/main/java/org/otterpond/keel/Purser.java
+++ b/src/main/java/org/otterpond/keel/Purser.java
@@ -17,7 +17,6 @@
 /** Writes the journal on a thread of its own: all that waits goes in one append and one sync. */
 final class Purser {
     private static final Logger LOG = LoggerFactory.getLogger(Purser.class);
-    private static final long ROTATE_AT = 4L << 20;
 
     private final ExecutorService disk = Executors.newSingleThreadExecutor(
             new ThreadFactoryBuilder().setNameFormat("disk").setDaemon(true).build());
@@ -30,9 +29,12 @@
     private List<Consumer<Boolean>> waiting = new ArrayList<>();
     private boolean writing;
     private boolean due;
-    private long rotateAt = ROTATE_AT;
+    private final long capacity;
+    private long rotateAt;
 
-    Purser(Executor owner, Logbook logbook, String diskId, Supplier<List<Flag>> base) {
+    Purser(Executor owner, Logbook logbook, String diskId, Supplier<List<Flag>> base, long capacityBytes) {
+        this.capacity = capacityBytes;
+        this.rotateAt = Logbook.rotateAt(0, capacityBytes);
         this.owner = owner;
         this.logbook = logbook;
         this.diskId = diskId;
@@ -74,7 +76,7 @@
         if (fresh != null) {
             try {
                 logbook.rotate(diskId, fresh);
-                rotateAt = Math.max(ROTATE_AT, 3 * logbook.size());
+                rotateAt = Logbook.rotateAt(logbook.size(), capacity);
                 return true;
             } catch (LogbookException e) {
                 LOG.warn("event=journal_rotation_failed cause=\"{}\"", String.valueOf(e.getCause()));
--- a/src/main/java/org/otterpond/logbook/Frames.java
+++ b/src/main/java/org/otterpond/logbook/Frames.java
@@ -2,18 +2,40 @@
 
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32C;
+import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.FlagCodec;
+import org.otterpond.signal.SignalException;
 
 /** Records as they stand in a file: length, CRC-32C, CBOR. */
 final class Frames {
     static final int HEAD = 8;
     static final int MAX_RECORD = 48 << 20;
+    private static final int LONG = 4096;
+    private static final int ZLIB = 0x78;
 
     private Frames() {}
 
     static byte[] of(Flag f) {
+        return of(FlagCodec.encode(f));
+    }
+
+    /** The same with a long record packed; a packed one begins as no map in CBOR does. */
+    static byte[] packed(Flag f) {
         byte[] body = FlagCodec.encode(f);
+        // What stands in it as bytes was packed before.
+        long bare = body.length;
+        for (Object v : f.fields().values()) {
+            bare -= v instanceof byte[] b ? b.length : 0;
+        }
+        return of(bare > LONG ? Bale.pack(f) : body);
+    }
+
+    static Flag read(byte[] body) throws SignalException {
+        return body[0] == ZLIB ? Bale.unpack(body) : FlagCodec.decode(body, 0, body.length);
+    }
+
+    private static byte[] of(byte[] body) {
         if (body.length > MAX_RECORD) {
             throw new IllegalArgumentException("record too large: " + body.length);
         }
--- a/src/main/java/org/otterpond/logbook/Logbook.java
+++ b/src/main/java/org/otterpond/logbook/Logbook.java
@@ -1,5 +1,7 @@
 package org.otterpond.logbook;
 
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -8,9 +10,9 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.otterpond.signal.Flag;
-import org.otterpond.signal.FlagCodec;
 import org.otterpond.signal.SignalException;
 
 /**
@@ -20,9 +22,13 @@
  */
 public final class Logbook {
     private static final String PREFIX = "log-";
+    private static final int READ_AT_ONCE = 64 * 1024;
+    private static final long ROTATE_AT = 4L << 20;
+    private static final long ROOM = 1L << 20;
 
     private final Folder folder;
     private FileChannel channel;
+    private Path opened;
     private long number;
     private long end;
     private boolean rotated = true;
@@ -35,31 +41,89 @@
         this.folder = folder;
     }
 
-    /** Opens the journal and reads what it holds; an empty list means a blank disk. */
-    public List<Flag> open() throws LogbookException {
+    /** Opens the journal: its first record, which has the disk's identity; null means a blank disk. */
+    public Flag open() throws LogbookException {
         try {
             folder.make();
             List<Long> numbers = numbers();
             for (int i = numbers.size() - 1; i >= 0; i--) {
                 Path file = file(numbers.get(i));
-                List<Flag> records = read(file);
-                if (!records.isEmpty() && records.get(0).kind().equals("base")
-                        && records.size() > records.get(0).number("count")) {
+                Flag base = look(file);
+                if (base != null) {
                     number = numbers.get(numbers.size() - 1);
                     channel = FileChannel.open(file, StandardOpenOption.WRITE);
                     channel.truncate(end);
+                    opened = file;
                     // A newer file that is no journal must never come to look like one again.
                     rotated = i == numbers.size() - 1 && settled();
-                    return records;
+                    return base;
                 }
             }
             number = numbers.isEmpty() ? 0 : numbers.get(numbers.size() - 1);
-            return List.of();
+            return null;
         } catch (IOException e) {
             throw new LogbookException("journal not readable in " + folder.path(), e);
         }
     }
 
+    /** Gives what stood behind the first record when the journal was opened, one record in memory at a time. */
+    public void replay(Consumer<Flag> each) throws LogbookException {
+        if (opened == null) {
+            return;
+        }
+        try (DataInputStream in = stream(opened)) {
+            long left = end;
+            boolean first = true;
+            for (byte[] body = next(in, left); body != null; body = next(in, left)) {
+                left -= Frames.HEAD + body.length;
+                if (!first) {
+                    each.accept(Frames.read(body));
+                }
+                first = false;
+            }
+            opened = null;
+        } catch (IOException | SignalException e) {
+            throw new LogbookException("journal not readable in " + folder.path(), e);
+        }
+    }
+
+    private static DataInputStream stream(Path file) throws IOException {
+        return new DataInputStream(new BufferedInputStream(Files.newInputStream(file), READ_AT_ONCE));
+    }
+
+    /** The next whole record of what is left; null if there is none. */
+    private static byte[] next(DataInputStream in, long left) throws IOException {
+        if (left < Frames.HEAD) {
+            return null;
+        }
+        int length = in.readInt();
+        int crc = in.readInt();
+        if (length <= 0 || length > Frames.MAX_RECORD || length > left - Frames.HEAD) {
+            return null;
+        }
+        byte[] body = in.readNBytes(length);
+        return body.length == length && Frames.crcOf(body, 0, length) == crc ? body : null;
+    }
+
+    /** How far the file is whole, and its first record; null if it does not stand for all before it. */
+    private Flag look(Path file) throws IOException {
+        Flag base = null;
+        long records = 0;
+        end = 0;
+        try (DataInputStream in = stream(file)) {
+            long size = Files.size(file);
+            for (byte[] body = next(in, size); body != null; body = next(in, size - end)) {
+                if (records++ == 0) {
+                    base = Frames.read(body);
+                }
+                end += Frames.HEAD + body.length;
+            }
+        } catch (SignalException e) {
+            return null;
+        }
+        return base != null && base.kind().equals("base") && records > base.number("count") ? base : null;
+    }
+
     /**
      * Makes what was read last, before anything is built on it: the life before may have ended between a write and its
      * sync, or between the removal of a file that a failed rotation left and the sync of the folder. Such a file could
@@ -97,31 +161,9 @@
         return folder.file(PREFIX + n);
     }
 
-    private List<Flag> read(Path file) throws IOException {
-        byte[] all = Files.readAllBytes(file);
-        ByteBuffer b = ByteBuffer.wrap(all);
-        List<Flag> out = new ArrayList<>();
-        end = 0;
-        while (b.remaining() >= Frames.HEAD) {
-            int length = b.getInt();
-            int crc = b.getInt();
-            if (length <= 0 || length > b.remaining() || Frames.crcOf(all, b.position(), length) != crc) {
-                break;
-            }
-            try {
-                out.add(FlagCodec.decode(all, b.position(), length));
-            } catch (SignalException e) {
-                break;
-            }
-            b.position(b.position() + length);
-            end = b.position();
-        }
-        return out;
-    }
-
     /** A record as it stands in the file. */
     public static byte[] frame(Flag f) {
-        return Frames.of(f);
+        return Frames.packed(f);
     }
 
     /** Appends frames and syncs once. After a failure nothing of them counts. */
@@ -229,4 +271,13 @@
     public long size() {
         return end;
     }
+
+    /**
+     * At which size a file is rotated that began with so much. While the next one is written both stand on the disk,
+     * and they take half of it at the most: the rest is for what else stands there.
+     */
+    public static long rotateAt(long begun, long capacity) {
+        long rare = Math.max(ROTATE_AT, 3 * begun);
+        return Math.max(begun + ROOM, Math.min(rare, capacity / 2 - begun));
+    }
 }
--- a/src/test/java/org/otterpond/logbook/LogbookTest.java
+++ b/src/test/java/org/otterpond/logbook/LogbookTest.java
@@ -1,6 +1,7 @@
 package org.otterpond.logbook;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -20,7 +21,7 @@
 
     private static Logbook blank(Path folder) throws LogbookException {
         Logbook l = new Logbook(folder);
-        assertEquals(List.of(), l.open());
+        assertNull(l.open());
         l.rotate("disk-1", List.of());
         return l;
     }
@@ -37,11 +38,11 @@
         byte[] whole = Files.readAllBytes(file);
         for (int at = (int) synced; at < whole.length; at++) {
             Files.write(file, Arrays.copyOf(whole, at));
-            int cut = new Logbook(folder).open().size();
+            int cut = JournalReading.all(folder).size();
             byte[] hole = whole.clone();
             Arrays.fill(hole, at, Math.min(whole.length, at + 16), (byte) 0);
             Files.write(file, hole);
-            List<Flag> holed = new Logbook(folder).open();
+            List<Flag> holed = JournalReading.all(folder);
             assertTrue(cut >= 21 && cut < 24, "cut at " + at + " gave " + cut);
             assertTrue(holed.size() >= 21 && holed.size() < 24, "hole at " + at + " gave " + holed.size());
             for (int i = 0; i < holed.size() - 1; i++) {
@@ -58,9 +59,9 @@
         byte[] whole = Files.readAllBytes(file);
         Files.write(file, Arrays.copyOf(whole, whole.length - 3));
         Logbook again = new Logbook(folder);
-        assertEquals(2, again.open().size());
+        assertEquals(2, JournalReading.all(again).size());
         again.append(List.of(Logbook.frame(record(3))));
-        List<Flag> read = new Logbook(folder).open();
+        List<Flag> read = JournalReading.all(folder);
         assertEquals(List.of("k1", "k3"), read.subList(1, 3).stream().map(f -> f.text("key")).toList());
     }
 
@@ -74,7 +75,7 @@
         assertTrue(Files.notExists(folder.resolve("log-1")));
         Files.write(folder.resolve("log-1"), old);
         Files.write(folder.resolve("log-2"), Arrays.copyOf(fresh, fresh.length - 1));
-        List<Flag> read = new Logbook(folder).open();
+        List<Flag> read = JournalReading.all(folder);
         assertEquals(2, read.size());
         assertEquals("disk-1", read.get(0).text("disk"));
     }
@@ -94,7 +95,7 @@
         Files.delete(inTheWay.resolve("x"));
         Files.delete(inTheWay);
         Files.write(folder.resolve("log-2"), first);
-        List<Flag> read = new Logbook(folder).open();
+        List<Flag> read = JournalReading.all(folder);
         assertEquals(List.of("k1", "k2", "k3"), read.subList(1, 4).stream().map(f -> f.text("key")).toList());
     }
 }
--- a/src/test/java/org/otterpond/logbook/NamesAfterPowerLossTest.java
+++ b/src/test/java/org/otterpond/logbook/NamesAfterPowerLossTest.java
@@ -35,7 +35,7 @@
     /** After every loss of power that can be, the journal has this identity and these records. */
     private void holds(List<String> names) throws Exception {
         for (Path p : folder.afterLossesOfPower(tmp)) {
-            List<Flag> read = new Logbook(p).open();
+            List<Flag> read = JournalReading.all(p);
             assertTrue(!read.isEmpty(), () -> p + " looks blank");
             assertEquals("disk-1", read.get(0).text("disk"));
             assertEquals(names, read.subList(1, read.size()).stream().map(f -> f.text("n")).toList());
