--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -34,8 +34,6 @@
     private static final long DOUBTFUL = 500_000;
     private static final long EMPTY_AT_FIRST = 1_000_000;
     private static final long MEMBER_DEAD = 1_500_000;
-    private static final long MEMBER_DROP = 6_000_000;
-    private static final int MOST_MEMBERS = 9;
 
     private final Deck deck;
     private final Watch watch;
@@ -52,6 +50,7 @@
     private byte[] packedAssignments;
     private long packedAssignmentNumber = -1;
     private final Placement placement;
+    private final Membership membership;
     private final KeyKeeper keeper;
 
     private PendingWrite writing;
@@ -60,7 +59,6 @@
     private long nodesVersion;
     private FleetPlan plan;
     private FleetPlan storePlan;
-    private long membersTriedAt;
     private long beganAt;
     /** Names this node's unbroken time as primary; running totals of lent tokens belong to one term. */
     private long term;
@@ -100,7 +98,8 @@
         this.self = self;
         this.register = new Register(terms.heartbeatMicros());
         this.chandlery = new Chandlery(terms.quota());
-        this.placement = new Placement(deck, terms.faults(), terms.zoneFaults(), this::assign);
+        this.placement = new Placement(deck, terms.losses().machines(), terms.losses().zones(), this::assign);
+        this.membership = new Membership(deck, watch, terms.losses());
         this.keeper = new KeyKeeper(new KeeperDeck(deck, shore, watch, register, this::assign), terms.hold());
     }
 
@@ -343,7 +342,7 @@
             newsDue();
         }
         checkDrains();
-        membership(now);
+        membership.tick(newcomers(now));
         keeper.tick();
         placement.tick(now, stores(), watch.hold().assignments());
         if (now - chandleryTicked > 1_000_000) {
@@ -352,61 +351,17 @@
         }
     }
 
-    /** Takes in new disks and puts out dead members, one at a time. */
-    private void membership(long now) {
-        if (now - membersTriedAt < 500_000) {
-            return;
-        }
-        EpochRecord r = watch.record();
-        Berth dead = null;
-        Berth newcomer = null;
+    /** The machines with a disk that hold a lease and are no members of the core. */
+    private List<Membership.Newcomer> newcomers(long now) {
+        List<Membership.Newcomer> out = new ArrayList<>();
         for (Lease l : leases.values()) {
             String id = l.poll.text("disk");
-            if (id == null || r.hasMember(id) || now - l.at > LEASE / 2) {
-                continue;
-            }
-            Berth b = new Berth(id, l.poll.text("addr"), l.poll.text("name"), l.poll.text("zone"));
-            for (Berth m : r.members()) {
-                if (m.address().equals(b.address())) {
-                    dead = m;
-                    newcomer = b;
-                }
-            }
-            if (newcomer == null && now - l.firstSeen > 500_000) {
-                newcomer = b;
-            }
-        }
-        boolean shrink = false;
-        if (dead == null) {
-            for (Berth m : r.members()) {
-                if (m.diskId().equals(self.diskId())) {
-                    continue;
-                }
-                if (newcomer != null && watch.silent(m, MEMBER_DEAD)) {
-                    dead = m;
-                } else if (newcomer == null && r.members().size() > r.target() && watch.silent(m, MEMBER_DROP)) {
-                    dead = m;
-                    shrink = true;
-                }
-            }
-        }
-        if (newcomer == null && !shrink) {
-            return;
-        }
-        List<Berth> members = new ArrayList<>(r.members());
-        if (dead != null) {
-            members.remove(dead);
-        }
-        if (newcomer != null) {
-            if (members.size() >= MOST_MEMBERS) {
-                return;
+            if (id != null && !watch.record().hasMember(id) && now - l.at <= LEASE / 2) {
+                out.add(new Membership.Newcomer(new Berth(id, l.poll.text("addr"), l.poll.text("name"),
+                        l.poll.text("zone")), l.firstSeen));
             }
-            members.add(newcomer);
         }
-        membersTriedAt = now;
-        deck.event("event=core_change in=" + (newcomer == null ? "none" : newcomer.name()) + " out="
-                + (dead == null ? "none" : dead.name()));
-        watch.changeMembers(List.copyOf(members));
+        return out;
     }
 
     // ------------------------------------------------------------------- ops
@@ -422,14 +377,7 @@
         }
         switch (ask.text("op")) {
             case "claim" -> claim(ask, reply);
-            case "free" -> {
-                Claim c = watch.hold().claim(ask.text("key"));
-                if (c != null && c.token().equals(ask.text("token"))) {
-                    watch.propose(new Flag("free").with("key", ask.text("key")).with("token", ask.text("token")),
-                            () -> { });
-                }
-                reply.accept(new Flag("reply"));
-            }
+            case "free" -> free(ask, reply);
             case "lend" -> {
                 List<Flag> lent = new ArrayList<>();
                 ask.flags("tenants").forEach(t -> lent.add(lend(ask, t)));
@@ -438,16 +386,18 @@
             case "beat" -> beat(ask, reply);
             case "beats" -> {
                 ask.flags("beats").forEach(f -> take(Vessel.of(f, deck.now())));
-                reply.accept(new Flag("reply"));
+                // Told again to whoever leads, unless it was this node.
+                watch.confirmLater(ok -> {
+                    if (ok) {
+                        reply.accept(new Flag("reply"));
+                    }
+                });
             }
-            case "reconfigure" -> placement.reconfigure(ask, watch.hold().assignments(), committed, reply);
-            case "candidate-failed" -> placement.candidateFailed(ask, watch.hold().assignments(), reply);
-            case "retire" -> placement.retire(ask.text("node"), stores(), watch.hold().assignments(), reply);
-            case "retired" -> watch.confirm(ok -> {
-                if (ok) {
-                    reply.accept(Placement.retired(ask.text("node"), committed));
-                }
-            });
+            case "reconfigure" -> placement.reconfigure(ask, watch.hold().assignments(), committed, proved(reply));
+            case "candidate-failed" -> placement.candidateFailed(ask, watch.hold().assignments(), proved(reply));
+            case "retire" -> placement.retire(ask.text("node"), stores(), watch.hold().assignments(), committed,
+                    proved(reply));
+            case "retired" -> proved(reply).accept(Placement.retired(ask.text("node"), committed));
             case "write" -> write(ask, reply);
             case "read" -> watch.confirm(ok -> {
                 if (ok) {
@@ -460,6 +410,29 @@
         }
     }
 
+    /**
+     * For answers that rest on what this node holds, refusals among them: each is given once it is proved that this
+     * node led after the question came, and never if it did not. Who woke up with old state says nothing by it.
+     */
+    private Consumer<Flag> proved(Consumer<Flag> reply) {
+        return r -> watch.confirm(ok -> {
+            if (ok) {
+                reply.accept(r);
+            }
+        });
+    }
+
+    /** Lets a claim go that did not run; answered once that is durable, or there is nothing to let go. */
+    private void free(Flag ask, Consumer<Flag> reply) {
+        Claim c = watch.hold().claim(ask.text("key"));
+        if (c != null && c.token().equals(ask.text("token"))) {
+            watch.propose(new Flag("free").with("key", ask.text("key")).with("token", ask.text("token")),
+                    () -> reply.accept(new Flag("reply")));
+        } else {
+            proved(reply).accept(new Flag("reply"));
+        }
+    }
+
     private void inForce(Configuration c) {
         chandlery.configured(c, deck.now());
         Set<String> divided = new HashSet<>();
@@ -511,7 +484,7 @@
             return;
         }
         if (c != null) {
-            reply.accept(c.token().equals(token) ? new Flag("reply").with("granted", true)
+            proved(reply).accept(c.token().equals(token) ? new Flag("reply").with("granted", true)
                     : new Flag("reply").with("holder", c.holder()).with("run", c.token()));
             return;
         }
@@ -544,7 +517,7 @@
         Vessel v = Vessel.of(ask.flag("vessel"), deck.now());
         take(v);
         if (v.state() == VesselState.IN_SERVICE) {
-            reply.accept(new Flag("reply"));
+            proved(reply).accept(new Flag("reply"));
             return;
         }
         DrainWait d = new DrainWait();
@@ -624,17 +597,17 @@
         try {
             JsonObject given = Fields.parse(text);
             revision = Fields.of(given, "").whole("revision", 1, Long.MAX_VALUE);
-            if (digest.equals(watch.hold().digestOf(revision))) {
-                reply.accept(verdict(200, null));
+            if (watch.hold().taken().holds(revision, digest)) {
+                proved(reply).accept(verdict(200, null));
                 return;
             }
             long current = watch.committedRevision();
             if (base != current) {
-                reply.accept(verdict(412, "X-Otterpond-Base-Revision: the current revision is " + current));
+                proved(reply).accept(verdict(412, "X-Otterpond-Base-Revision: the current revision is " + current));
                 return;
             }
             if (revision <= current) {
-                reply.accept(verdict(400, "revision: not above the current " + current));
+                proved(reply).accept(verdict(400, "revision: not above the current " + current));
                 return;
             }
             if (kind.equals("modify")) {
@@ -646,7 +619,8 @@
             }
             checked = ConfigurationReader.read(whole);
         } catch (ChartException e) {
-            reply.accept(verdict(400, e.getMessage()));
+            // A modification is judged together with what it changes.
+            proved(reply).accept(verdict(400, e.getMessage()));
             return;
         }
         PendingWrite w = new PendingWrite();
--- a/src/main/java/org/otterpond/quay/Tender.java
+++ b/src/main/java/org/otterpond/quay/Tender.java
@@ -24,7 +24,9 @@
     private Reception reception;
     /** What the answer must bring back of the request in hand. */
     private String echo;
+    private final RecentIds carried = new RecentIds();
     private Quay.Timer connectTimer;
+    private long connectBy;
     private long usableUntil;
     private long idleSince;
     private long writtenBefore;
@@ -43,6 +45,7 @@
             channel.close();
             throw new IOException("connect", e);
         }
+        connectBy = Quay.now() + connectMicros;
         connectTimer = quay.after(connectMicros, () -> {
             if (!connected) {
                 close("connect_timeout");
@@ -62,6 +65,11 @@
         }
     }
 
+    /** Whether it carried a request of this id before, whose second answer might come late. */
+    boolean mayHaveCarried(String id) {
+        return carried.mayHold(id);
+    }
+
     long idleSince() {
         return idleSince;
     }
@@ -73,6 +81,7 @@
     void send(Missive request, Reception r) {
         reception = r;
         echo = request.first(pool.echoed());
+        carried.add(echo);
         writtenBefore = out.written();
         reader.expect(request.method().equals("HEAD"));
         out.add(OutBuffer.encode(request, true, null));
@@ -94,6 +103,11 @@
         try {
             if (k.isConnectable()) {
                 channel.finishConnect();
+                if (Quay.now() > connectBy) {
+                    // This process stood still meanwhile: what is sent now may have been given up elsewhere.
+                    close("connect_timeout");
+                    return;
+                }
                 connected = true;
                 connectTimer.cancel();
                 flush();
@@ -149,10 +163,21 @@
         r.answered(answer);
     }
 
-    /** Gives the request up and the connection with it. */
-    public void abandon() {
+    /**
+     * Gives the request up and the connection with it.
+     *
+     * @return whether any byte of it may have reached the worker; what has not reached it by now never does
+     */
+    public boolean abandon() {
+        Sockets.discard(channel);
         reception = null;
         close("abandoned");
+        return anyWritten();
+    }
+
+    /** The kernel has taken a byte of the request in hand. What it has taken may arrive, whatever happens here. */
+    private boolean anyWritten() {
+        return out.written() > writtenBefore;
     }
 
     void close(String why) {
@@ -164,16 +189,17 @@
             connectTimer.cancel();
         }
         key.cancel();
-        try {
-            channel.close();
-        } catch (IOException e) {
-            // Nothing is left to be done for it.
+        Reception r = reception;
+        if (r != null) {
+            // What the worker has not got of the request by now must not reach it later.
+            Sockets.discard(channel);
+        } else {
+            Sockets.close(channel);
         }
         pool.left(this);
-        Reception r = reception;
         reception = null;
         if (r != null) {
-            r.failed(out.written() > writtenBefore, why);
+            r.failed(anyWritten(), why);
         }
     }
 }
--- a/src/test/java/org/otterpond/harbour/HundredsOfChangesTest.java
+++ b/src/test/java/org/otterpond/harbour/HundredsOfChangesTest.java
@@ -61,7 +61,7 @@
         long entry = 0;
         for (long rev = 1; rev <= changes; rev++) {
             String full = configuration(routes, rev);
-            Flag change = PackedText.put(full, new Flag("config").with("rev", rev)).with("digest", "d" + rev);
+            Flag change = PackedText.put(full, new Flag("config").with("rev", rev)).with("digest", String.format("%064x", rev));
             text = full.length();
             entry = FlagCodec.encode(change).length;
             hold.apply(change, 0);
