--- a/src/test/java/org/otterpond/sim/CatchUpTest.java
+++ b/src/test/java/org/otterpond/sim/CatchUpTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.otterpond.signal.Flag;
@@ -62,4 +63,53 @@
         f.world.run(100_000);
         assertEquals(records, b.disk.read().size());
     }
+
+    /**
+     * Six hundred changes and more, and all the while members are killed, lose power, are wiped, replaced or cut off, up
+     * to two at a time. Whoever was away holds the newest version within the time that is given for it.
+     */
+    @Test
+    void memberThatWasAwayCatchesUpThroughHundredsOfChanges() {
+        SimFleet f = founded(531, 6, 2);
+        f.callers();
+        int fresh = 0;
+        for (int turn = 0; f.checker.acknowledgements < 600; turn++) {
+            assertTrue(turn < 200, () -> f.checker.acknowledgements + " changes\n" + f.tail());
+            List<SimNode> away = new ArrayList<>();
+            for (int i = 0; i < 1 + turn % 2; i++) {
+                SimNode n = turn % 3 == 0 && i == 0 && f.leader() != null ? f.leader()
+                        : f.disks.get(f.world.random.nextInt(f.disks.size()));
+                switch (f.world.random.nextInt(5)) {
+                    case 0 -> n.kill();
+                    case 1 -> n.losePower();
+                    case 2 -> {
+                        n.losePower();
+                        n.disk.wipe();
+                    }
+                    case 3 -> f.world.cutOff(n.address);
+                    default -> {
+                        n.losePower();
+                        f.all.remove(n);
+                        f.disks.remove(n);
+                        n = f.add("r" + ++fresh + ":1", true);
+                        f.disks.add(n);
+                    }
+                }
+                away.add(n);
+            }
+            f.world.run(f.world.random.nextInt(4) * S);
+            f.world.heal();
+            away.forEach(SimNode::joinLate);
+            // A change may be taken at any moment: what was newest a second ago is to be held by now.
+            f.world.run(3 * S);
+            long newest = f.checker.newestAcknowledged();
+            f.world.run(S);
+            for (SimNode n : away) {
+                assertTrue(n.node.revision() >= newest, () -> n.address + " holds " + n.node.revision() + " of " + newest
+                        + "\n" + f.tail());
+            }
+            assertEquals(List.of(), f.checker.broken, () -> f.tail());
+            f.world.run(2 * S);
+        }
+    }
 }
