--- a/src/test/java/org/otterpond/harbour/SnapshotCopyTest.java
+++ b/src/test/java/org/otterpond/harbour/SnapshotCopyTest.java
@@ -100,4 +100,30 @@
         assertTrue(a.acknowledged("d", 1, 1, 20));
         assertFalse(new SnapshotReceiver(1).whole(), "nothing is not a whole snapshot");
     }
+
+    /** What is open or on its way when a member of the group is lost is part of the state that is copied. */
+    @Test
+    void snapshotHasItsTail() {
+        NarrowCore c = new NarrowCore(3, 1, 1000);
+        c.claims(100);
+        NarrowCore.Member primary = c.leader();
+        long epoch = primary.watch.record().epoch();
+        c.members.get("m2").kill();
+        int[] committed = {0};
+        for (int i = 0; i < 7; i++) {
+            // The first goes to the lost backup in vain, the others wait for it in the open batch.
+            primary.watch.propose(new Flag("claim").with("key", "tail" + i).with("token", "t").with("holder", "m1"),
+                    () -> committed[0]++);
+            c.run(10_000);
+        }
+        assertTrue(c.untilEpochAfter(epoch, 3 * S) > 0, () -> tail(c));
+        assertEquals(7, committed[0]);
+        assertEquals("m1", c.leader().berth.address());
+        long second = c.leader().watch.record().epoch();
+        primary.kill();
+        c.members.get("m2").start();
+        assertTrue(c.untilEpochAfter(second, 5 * S) > 0, () -> tail(c));
+        assertEquals("m3", c.leader().berth.address());
+        assertEquals(107, c.leader().claims());
+    }
 }
