--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -54,7 +54,7 @@
     private final KeyKeeper keeper;
 
     private PendingWrite writing;
-    private Flag lastChange;
+    private final ChangeLog changes = new ChangeLog();
     private boolean newsDue;
     private long nodesVersion;
     private FleetPlan plan;
@@ -63,8 +63,6 @@
     /** Names this node's unbroken time as primary; running totals of lent tokens belong to one term. */
     private long term;
     private long chandleryTicked;
-    private byte[] packedText;
-    private long packedRevision;
     private byte[] packedTable;
     private long packedVersion;
     private long packedAt;
@@ -123,7 +121,7 @@
         leases.keySet().forEach(a -> deck.send(a, begun));
         leases.clear();
         drains.clear();
-        lastChange = null;
+        changes.clear();
         packedVersion = -1;
         nodesVersion++;
         Map<String, Early> polls = new HashMap<>(early);
@@ -232,13 +230,14 @@
             l.nodesVersion = nodesVersion;
         }
         if (config) {
-            boolean patch = lastChange != null && lastChange.number("base") == l.poll.number("cfg")
-                    && lastChange.number("rev") == watch.committedRevision();
+            byte[] whole = watch.packedText();
+            List<Flag> since = l.poll.truth("whole") ? List.of()
+                    : changes.between(l.poll.number("cfg"), watch.committedRevision(), whole.length);
             news.with("cfg", watch.committedRevision());
-            if (patch) {
-                news.with("base", lastChange.number("base")).with("change", lastChange.bytes("change"));
+            if (since.isEmpty()) {
+                news.with("text", whole);
             } else {
-                news.with("text", packedText());
+                news.withFlags("changes", since);
             }
         }
         if (table) {
@@ -301,14 +300,6 @@
         return FleetPlan.of(nodesVersion, polls);
     }
 
-    private byte[] packedText() {
-        if (packedRevision != watch.committedRevision()) {
-            packedText = Bale.pack(watch.committedText());
-            packedRevision = watch.committedRevision();
-        }
-        return packedText;
-    }
-
     /** The whole table as it goes to every node that has none; warm-up times in it are a moment old at the most. */
     private byte[] packedTable() {
         long now = deck.now();
@@ -413,7 +404,7 @@
             case "read" -> watch.confirm(ok -> {
                 if (ok) {
                     reply.accept(new Flag("reply").with("rev", watch.committedRevision())
-                            .with("text", watch.committedText() == null ? null : packedText()));
+                            .with("text", watch.packedText()));
                 }
             });
             case "status" -> watch.confirm(ok -> reply.accept(status(ok)));
@@ -639,12 +630,14 @@
         w.replies.add(reply);
         writing = w;
         String full = whole.toString();
-        boolean taken = watch.propose(new Flag("config").with("rev", revision).with("text", full)
+        boolean taken = watch.propose(PackedText.put(full, new Flag("config").with("rev", revision))
                 .with("digest", digest), () -> {
                     writing = null;
-                    lastChange = kind.equals("modify")
-                            ? new Flag("change").with("base", base).with("rev", revision)
-                                    .with("change", Bale.pack(text)) : null;
+                    if (kind.equals("modify")) {
+                        changes.add(base, revision, Bale.pack(text));
+                    } else {
+                        changes.clear();
+                    }
                     inForce(checked);
                     deck.event("event=configuration_taken revision=" + revision + " base=" + base);
                     w.replies.forEach(r -> r.accept(verdict(200, null)));
--- a/src/main/java/org/otterpond/harbour/Hold.java
+++ b/src/main/java/org/otterpond/harbour/Hold.java
@@ -20,7 +20,7 @@
     private final long windowMicros;
 
     private long revision;
-    private String text;
+    private PackedText text;
     private final TakenChanges taken = new TakenChanges();
     private final Map<String, Known> workers = new LinkedHashMap<>();
     private final LinkedHashMap<String, Claim> claims = new LinkedHashMap<>();
@@ -36,7 +36,7 @@
         return revision;
     }
 
-    String text() {
+    PackedText text() {
         return text;
     }
 
@@ -78,7 +78,7 @@
             }
             case "config" -> {
                 revision = entry.number("rev");
-                text = entry.text("text");
+                text = PackedText.of(entry);
                 taken.add(revision, entry.text("digest"));
             }
             case "worker" -> workers.put(entry.text("id"), new Known(entry, now));
@@ -114,7 +114,7 @@
             keys.add(c.token());
             keys.add(c.holder());
         });
-        return new Flag("state").with("rev", revision).with("text", text).with("taken", taken.pack())
+        return PackedText.put(text, new Flag("state").with("rev", revision)).with("taken", taken.pack())
                 .withFlags("workers", workers()).with("claims", keys)
                 .with("assignments", assignments.number() == 0 ? null : assignments.snapshot());
     }
@@ -122,7 +122,7 @@
     /** Replaces everything; windows of the claims begin anew. */
     void load(Flag state, long now) {
         revision = state.number("rev");
-        text = state.text("text");
+        text = PackedText.of(state);
         taken.load(state.bytes("taken"));
         workers.clear();
         state.flags("workers").forEach(w -> workers.put(w.text("id"), new Known(w, now)));
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -72,7 +72,7 @@
     /** When the backups were last asked for the sake of such a proof. */
     private long proofAskedAt = Long.MIN_VALUE / 2;
     private long committedRevision;
-    private String committedText;
+    private PackedText committedText;
 
     // As backup.
     /** Until then another may still act on its authority as primary. */
@@ -99,6 +99,7 @@
     private long reformFrom;
     private int reformPauses = 1;
     private boolean diskBad;
+    private boolean refusedSinceProbe;
     private boolean retired;
     private long lastNotice = Long.MIN_VALUE / 2;
     /** The epoch whose duty this process gave up. */
@@ -221,7 +222,12 @@
     }
 
     public String committedText() {
-        return committedText;
+        return committedText == null ? null : committedText.text();
+    }
+
+    /** The same as it goes to nodes; null if there is none. */
+    public byte[] packedText() {
+        return committedText == null ? null : committedText.packed();
     }
 
     /** Takes the founding record, decided by the seeds. Only a blank disk of the first start may. */
@@ -562,7 +568,7 @@
         for (Flag e : b.entries) {
             if (e.kind().equals("config")) {
                 committedRevision = e.number("rev");
-                committedText = e.text("text");
+                committedText = PackedText.of(e);
             }
         }
         b.committed.forEach(Runnable::run);
@@ -1312,7 +1318,18 @@
 
     // ------------------------------------------------------------------ disk
 
+    /**
+     * Writes a record. After one that was refused none counts before the disk holds everything again: what is said of
+     * a later record may rest on the one that is missing.
+     */
     private void write(Flag f, Consumer<Boolean> done) {
+        journal(f, ok -> {
+            refusedSinceProbe |= !ok;
+            done.accept(ok && !diskBad);
+        });
+    }
+
+    private void journal(Flag f, Consumer<Boolean> done) {
         if (pendingWrites++ == 0) {
             oldestPendingWrite = deck.now();
         }
@@ -1344,13 +1361,14 @@
     private void probeDisk() {
         deck.after(500_000, () -> {
             List<Flag> all = journalBase();
+            refusedSinceProbe = false;
             boolean[] good = {true};
             for (int i = 0; i < all.size(); i++) {
                 boolean last = i == all.size() - 1;
-                write(all.get(i), ok -> {
+                journal(all.get(i), ok -> {
                     good[0] &= ok;
                     if (last) {
-                        probed(good[0]);
+                        probed(good[0] && !refusedSinceProbe);
                     }
                 });
             }
