A waking process works in turns; links of stated width are shared by all their messages

Cause: a process that woke did everything at one moment, and what it sent to itself took the network's time, so that its own old state could answer nobody; a large message held up only what went the same way. What is put off to the end of a turn now runs there, as in quay.Quay.

--- a/src/main/java/org/otterpond/sim/SimLink.java
+++ b/src/main/java/org/otterpond/sim/SimLink.java
@@ -6,7 +6,7 @@
 import java.util.Random;
 
 /**
- * One way between two machines: in what order and how fast it carries messages, and what it keeps back while it holds.
+ * One way between two machines: the order of what it carries, and what it keeps back while it holds.
  * A sender gives a silent connection up after a while and dials anew; what it wrote before lies in the kernel, which
  * goes on sending it: after the cut it arrives late, in its own order, beside what newer connections bring.
  */
@@ -20,7 +20,6 @@
     record Late(byte[] bytes, long delay) {}
 
     private long lastDelivery;
-    private long freeAt;
     private long numbers;
     private boolean holding;
     private long since;
@@ -29,13 +28,9 @@
     /** Whether the last release found the connection given up and reset. */
     private boolean reset;
 
-    /** When a message sent now is there, behind all that was sent before it. A width of 0 has no bound. */
-    long arrival(long now, int bytes, long latency, long bytesPerSecond) {
-        freeAt = Math.max(freeAt, now);
-        if (bytesPerSecond > 0) {
-            freeAt += bytes * 1_000_000L / bytesPerSecond;
-        }
-        lastDelivery = Math.max(freeAt + latency, lastDelivery + 1);
+    /** When a message that leaves at that moment is there: behind all that was sent before it. */
+    long arrival(long leaves, long latency) {
+        lastDelivery = Math.max(leaves + latency, lastDelivery + 1);
         return lastDelivery;
     }
 
--- a/src/main/java/org/otterpond/sim/SimNode.java
+++ b/src/main/java/org/otterpond/sim/SimNode.java
@@ -1,5 +1,7 @@
 package org.otterpond.sim;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +46,11 @@
     SimWorkers keyWorkers;
     final RangeTable ranges = new RangeTable();
     final Map<Integer, GroupView> partitions = new HashMap<>();
+    /** Whether what the node sends to itself arrives at once, as in the daemon, and not by the network. */
+    boolean selfAtOnce;
     private boolean frozen;
+    /** Of a process that wakes: what it has put off to the end of its turn. */
+    private Deque<Runnable> soon;
     private boolean dark;
     private final FrozenTasks frozenTasks = new FrozenTasks();
 
@@ -165,10 +171,38 @@
         frozenTasks.inOrder().forEach(Runnable::run);
     }
 
-    /** Wakes the process, which reads its sockets before it looks at its timers, or the other way round. */
+    /**
+     * Wakes the process, which reads its sockets before it looks at its timers, or the other way round. It works off
+     * what it finds in turns; what it puts off to "soon", messages to itself among it, runs at the end of each.
+     */
     void thaw(boolean socketsFirst, Random random) {
+        if (frozen) {
+            turn(deck, new ArrayDeque<>(frozenTasks.apart(socketsFirst, random)), random);
+        }
+    }
+
+    private void turn(SimDeck life, Deque<Runnable> left, Random random) {
+        if (deck != life || !life.alive) {
+            return;
+        }
         frozen = false;
-        frozenTasks.apart(socketsFirst, random).forEach(Runnable::run);
+        soon = new ArrayDeque<>();
+        for (int n = 1 + random.nextInt(8); n > 0 && !left.isEmpty(); n--) {
+            left.poll().run();
+        }
+        for (int n = soon.size(); n > 0; n--) {
+            soon.poll().run();
+        }
+        left.addAll(soon);
+        soon = null;
+        if (!left.isEmpty()) {
+            // What arrives meanwhile waits behind what is there.
+            frozen = true;
+            world.at(20, () -> {
+                left.addAll(frozenTasks.inOrder());
+                turn(life, left, random);
+            });
+        }
     }
 
     /** Does something on the node's own thread: later, if it is frozen. */
@@ -215,7 +249,11 @@
 
         @Override
         public void send(String to, Flag message) {
-            world.send(address, to, message);
+            if (selfAtOnce && to.equals(address)) {
+                after(0, () -> node.onMessage(address, message));
+            } else {
+                world.send(address, to, message);
+            }
         }
 
         @Override
@@ -225,7 +263,11 @@
 
         @Override
         public void after(long delay, Runnable task) {
-            world.at(delay, () -> perform(task));
+            if (delay == 0 && soon != null) {
+                soon.add(() -> perform(task));
+            } else {
+                world.at(delay, () -> perform(task));
+            }
         }
 
         @Override
--- a/src/main/java/org/otterpond/sim/SimWorld.java
+++ b/src/main/java/org/otterpond/sim/SimWorld.java
@@ -37,6 +37,8 @@
     private final Set<String> cuts = new HashSet<>();
     private final Map<String, SimLink> links = new HashMap<>();
     private final Map<String, Long> widths = new HashMap<>();
+    /** Until when the links of machines of stated width have something to carry. */
+    private final Map<String, Long> busyUntil = new HashMap<>();
     private long now = 1_000_000;
     private long number;
     double loss;
@@ -110,7 +112,7 @@
         }
     }
 
-    /** How many bytes a second the machine's links carry; 0, as from the start, has no bound. */
+    /** How many bytes a second the machine's link carries, both ways together; 0, as from the start, has no bound. */
     void width(String address, long bytesPerSecond) {
         widths.put(address, bytesPerSecond);
     }
@@ -138,10 +140,15 @@
         return links.computeIfAbsent(from + ">" + to, w -> new SimLink());
     }
 
-    private long width(String from, String to) {
-        long a = widths.getOrDefault(from, 0L);
-        long b = widths.getOrDefault(to, 0L);
-        return a == 0 || b == 0 ? Math.max(a, b) : Math.min(a, b);
+    /** When so many bytes have passed the machine's link, behind all that goes or comes there. */
+    private long passed(String machine, int bytes, long from) {
+        Long width = widths.get(machine);
+        if (width == null || width == 0) {
+            return from;
+        }
+        long at = Math.max(from, busyUntil.getOrDefault(machine, 0L)) + bytes * 1_000_000L / width;
+        busyUntil.put(machine, at);
+        return at;
     }
 
     private long distance(String from, String to) {
@@ -161,7 +168,7 @@
         String way = from + ">" + to;
         SimLink link = link(from, to);
         // One connection: messages keep their order.
-        long at = link.arrival(now, bytes.length, latency, width(from, to));
+        long at = link.arrival(passed(to, bytes.length, passed(from, bytes.length, now)), latency);
         if (cuts.contains(way) || random.nextDouble() < loss) {
             return;
         }
