--- a/src/main/java/org/otterpond/sim/SimFleet.java
+++ b/src/main/java/org/otterpond/sim/SimFleet.java
@@ -171,7 +171,7 @@
         claim(n, key, "t" + ++tokenNumber);
     }
 
-    private void claim(SimNode n, String key, String token) {
+    void claim(SimNode n, String key, String token) {
         org.otterpond.harbour.HarbourNode node = n.node;
         node.ask(new Flag("ask").with("op", "claim").with("key", key).with("token", token)
                 .with("holder", n.address), 600_000, 200_000, r -> {
