--- a/src/main/java/org/otterpond/sim/Calls.java
+++ b/src/main/java/org/otterpond/sim/Calls.java
@@ -43,7 +43,10 @@
     private void write(Operation o) {
         Order order = o.order;
         byBase.computeIfAbsent(order.base(), b -> new LinkedHashSet<>()).add(order);
-        invoked.merge(order, o.invoked, Math::min);
+        if (!o.isRefusal()) {
+            // A call that was refused has done nothing, and will not.
+            invoked.merge(order, o.invoked, Math::min);
+        }
         if (o.isConfirmed()) {
             confirmed.merge(order, o.returned, Math::min);
             Order other = confirmedOn.put(order.base(), order);
@@ -70,8 +73,9 @@
         return confirmedOn.get(base);
     }
 
+    /** When the order was sent first in a call that was not refused; {@link Operation#NEVER} if all were. */
     long invoked(Order o) {
-        return invoked.get(o);
+        return invoked.getOrDefault(o, Operation.NEVER);
     }
 
     /** When the order was confirmed first; {@link Operation#NEVER} if it was not. */
--- a/src/main/java/org/otterpond/sim/LinearizabilityChecker.java
+++ b/src/main/java/org/otterpond/sim/LinearizabilityChecker.java
@@ -98,7 +98,8 @@
             Order confirmed = calls.confirmedOn(revision);
             for (Order o : calls.on(revision)) {
                 // Past a revision that somebody saw there is no way, and none past a confirmed order.
-                if (o.revision() <= revision || o.revision() > next || confirmed != null && !confirmed.equals(o)) {
+                if (o.revision() <= revision || o.revision() > next || calls.invoked(o) == Operation.NEVER
+                        || confirmed != null && !confirmed.equals(o)) {
                     continue;
                 }
                 chain.add(o);
--- a/src/main/java/org/otterpond/sim/Shrinker.java
+++ b/src/main/java/org/otterpond/sim/Shrinker.java
@@ -1,20 +1,27 @@
 package org.otterpond.sim;
 
-/** Cuts a failing schedule down: fewer faults and less time, as long as it fails in the same way. */
+import java.util.function.Predicate;
+
+/** Cuts a failing schedule down: fewer faults and less time, as long as it fails. */
 final class Shrinker {
     private static final int MOST_RUNS = 150;
     private static final int STEP = 5;
 
+    private final Predicate<Schedule> fails;
     private int runs;
 
-    Schedule shrink(Schedule failing, Outcome failure) {
+    Shrinker(Predicate<Schedule> fails) {
+        this.fails = fails;
+    }
+
+    Schedule shrink(Schedule failing) {
         Schedule best = failing;
         boolean shorter = true;
         while (shorter && runs < MOST_RUNS) {
             shorter = false;
             for (int i = best.entries().size() - 1; i >= 0 && runs < MOST_RUNS; i--) {
                 Schedule fewer = best.without(i);
-                if (fails(fewer, failure)) {
+                if (fails(fewer)) {
                     best = fewer;
                     shorter = true;
                 }
@@ -22,7 +29,7 @@
         }
         while (best.seconds() > STEP && runs < MOST_RUNS) {
             Schedule less = best.with(best.entries(), best.seconds() - STEP);
-            if (!fails(less, failure)) {
+            if (!fails(less)) {
                 break;
             }
             best = less;
@@ -30,9 +37,8 @@
         return best;
     }
 
-    private boolean fails(Schedule s, Outcome failure) {
+    private boolean fails(Schedule s) {
         runs++;
-        Outcome o = new Simulation(s).run();
-        return !o.sound() && o.failsAs(failure);
+        return fails.test(s);
     }
 }
--- a/src/main/java/org/otterpond/sim/SimNode.java
+++ b/src/main/java/org/otterpond/sim/SimNode.java
@@ -105,7 +105,8 @@
         boolean blank = disk != null && disk.blank();
         checker.started(address, life);
         node = new HarbourNode(deck, new NodeIdentity(address, address, zone, disk == null ? null : disk.id, blank,
-                firstStart, seeds, life, storeDisk == null ? null : storeDisk.id), new SimShore(this, checker, life, deck::perform),
+                firstStart, seeds, life, storeDisk == null ? null : storeDisk.id),
+                new SimShore(this, checker, life, deck::perform),
                 new HarbourTerms(1_500_000, Checker.WINDOW, faults, SimFleet.QUOTA));
         if (disk != null && !blank) {
             node.replay(disk.read());
--- a/src/main/java/org/otterpond/sim/SimulateCommand.java
+++ b/src/main/java/org/otterpond/sim/SimulateCommand.java
@@ -21,7 +21,8 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Option(names = "--seed", defaultValue = "1", description = "The first schedule's; each more has the next. ${DEFAULT-VALUE} if left out.")
+    @Option(names = "--seed", defaultValue = "1", 
+            description = "The first schedule's; each more has the next. ${DEFAULT-VALUE} if left out.")
     private long seed;
 
     @Option(names = "--core", defaultValue = "5", description = "Machines with a disk; ${DEFAULT-VALUE} if left out.")
@@ -83,7 +84,7 @@
             print(s, o);
             if (!o.sound()) {
                 failed++;
-                Schedule least = new Shrinker().shrink(s, o);
+                Schedule least = new Shrinker(fewer -> new Simulation(fewer).run().failsAs(o)).shrink(s);
                 Outcome again = new Simulation(least).run();
                 out().println("event=schedule_shrunk seed=" + s.seed() + " faults=" + least.entries().size());
                 again.breaches().forEach(b -> out().println("  " + b));
