Calls of operators, clients and workers come on connections of their own

Cause: a call that waited for a frozen process counted as one of its timers, and came after all its sockets; so the old state of a primary that woke never answered anybody.

--- a/src/main/java/org/otterpond/sim/ClaimCalls.java
+++ b/src/main/java/org/otterpond/sim/ClaimCalls.java
@@ -38,7 +38,7 @@
             boolean repeat = span > 0 && random.nextInt(3) == 0;
             String key = "k" + (repeat ? keys - random.nextInt(span) : ++keys);
             String token = "t" + ++tokens;
-            n.perform(() -> fleet.claim(n, key, token));
+            n.call(nodes.connection(), () -> fleet.claim(n, key, token));
         }
     }
 }
--- a/src/main/java/org/otterpond/sim/OperatorCalls.java
+++ b/src/main/java/org/otterpond/sim/OperatorCalls.java
@@ -33,6 +33,7 @@
     private double lost;
     /** The newest revision that any operator has seen. */
     private long seen;
+    private long connections;
     /** Told when an order is confirmed. */
     Runnable onConfirmed = () -> { };
     int confirmed;
@@ -98,7 +99,7 @@
         world.at(patience, () -> unclear(over, s));
         Flag ask = new Flag("ask").with("op", "write").with("kind", order.kind()).with("base", order.base())
                 .with("text", Bale.pack(order.text()));
-        n.perform(() -> n.node.ask(ask, big ? BIG_ASK : ASK, big ? BIG_RESEND : RESEND, r -> back(() -> {
+        n.call(connection(), () -> n.node.ask(ask, big ? BIG_ASK : ASK, big ? BIG_RESEND : RESEND, r -> back(() -> {
             if (over[0]) {
                 return;
             }
@@ -111,6 +112,11 @@
         })));
     }
 
+    /** A new one for each call. */
+    String connection() {
+        return "call" + ++connections;
+    }
+
     private void answered(Operation o, int status) {
         history.answered(o, status);
         if (status == 200) {
@@ -145,7 +151,7 @@
             return;
         }
         Operation o = history.read(n.address);
-        n.perform(() -> n.node.ask(new Flag("ask").with("op", "read"), ASK, RESEND, r -> back(() -> {
+        n.call(connection(), () -> n.node.ask(new Flag("ask").with("op", "read"), ASK, RESEND, r -> back(() -> {
             if (r != null && world.now() - o.invoked <= PATIENCE) {
                 history.returned(o, r.number("rev"), r.has("text") ? markers(r.bytes("text")) : List.of());
                 seen = Math.max(seen, o.revision);
--- a/src/main/java/org/otterpond/sim/SimNode.java
+++ b/src/main/java/org/otterpond/sim/SimNode.java
@@ -213,6 +213,13 @@
         }
     }
 
+    /** Does what a caller asks on a connection of its own. */
+    void call(String connection, Runnable task) {
+        if (node != null) {
+            deck.perform(connection, task);
+        }
+    }
+
     void deliver(String from, Flag f) {
         if (node == null) {
             return;
--- a/src/main/java/org/otterpond/sim/WorkerCalls.java
+++ b/src/main/java/org/otterpond/sim/WorkerCalls.java
@@ -64,7 +64,7 @@
     private void tell(Vessel v, Runnable accepted) {
         SimNode n = nodes.anyNode();
         if (n != null) {
-            n.perform(() -> n.node.beat(v, ok -> {
+            n.call(nodes.connection(), () -> n.node.beat(v, ok -> {
                 if (ok) {
                     accepted.run();
                 }
