A blank disk at a member's address is told where the core is; polls of one life are not answered to the next

Change: the primary, which pings the address anyhow, answers a pong that knows no epoch with the record; poll numbers begin as ask numbers do.

--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -90,6 +90,8 @@
         this.me = me;
         this.shore = shore;
         this.askNumber = me.life() & 0xffff_ffff_0000L;
+        // An answer to a poll of an earlier life must not pass for one to this life's.
+        this.pollNumber = askNumber;
         this.stores = new Stores(deck, this, terms.quota().lentMicros() - HarbourTerms.LENT_MARGIN);
         this.founding = new Founding(deck, me.address(), me.seeds(), me.firstLife(),
                 terms.losses());
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -1020,7 +1020,13 @@
                 }
             }
             case "ping" -> onPing(from, f);
-            case "pong" -> onPong(f);
+            case "pong" -> {
+                if (leading() && f.number("epoch") == 0) {
+                    // A blank disk at a member's address: it may know nobody else who tells it where the core is.
+                    deck.send(from, new Flag("harbour").with("record", record.toFlag()));
+                }
+                onPong(f);
+            }
             case "bow" -> {
                 leavers.add(f.text("id"));
                 if (leading()) {
