--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -253,7 +253,7 @@
         Flag f = new Flag("poll").with("addr", me.address()).with("name", me.name()).with("zone", me.zone())
                 .with("disk", me.diskId()).with("life", me.life()).with("epoch", tableEpoch)
                 .with("table", tableVersion).with("cfg", revision).with("pn", ++pollNumber)
-                .with("whole", wantsWhole ? true : null).with("as", assignmentNumber).with("store", me.storeId()).with("figures", shore.figures());
+                .with("changes", wantsWhole ? null : true).with("as", assignmentNumber).with("store", me.storeId()).with("figures", shore.figures());
         if (toldEpoch != known.epoch()) {
             long sum = 0;
             for (Vessel v : roster.values()) {
@@ -391,10 +391,11 @@
         try {
             JsonObject next;
             int size;
-            if (f.has("changes")) {
+            if (!f.has("text")) {
                 next = configuration;
                 long at = revision;
-                for (Flag c : f.flags("changes")) {
+                // A primary of an earlier version sends one change, by itself.
+                for (Flag c : f.has("change") ? List.of(f) : f.flags("changes")) {
                     if (c.number("base") != at) {
                         return;
                     }
@@ -415,7 +416,7 @@
             deck.event("event=configuration_in_force revision=" + revision);
         } catch (ChartException | SignalException e) {
             deck.event("event=configuration_unreadable revision=" + f.number("cfg") + " cause=" + e.getMessage());
-            wantsWhole = f.has("changes");
+            wantsWhole = !f.has("text");
         }
     }
 
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -231,8 +231,9 @@
         }
         if (config) {
             byte[] whole = watch.packedText();
-            List<Flag> since = l.poll.truth("whole") ? List.of()
-                    : changes.between(l.poll.number("cfg"), watch.committedRevision(), whole.length);
+            // Nodes of earlier versions do not say that they can use them.
+            List<Flag> since = l.poll.truth("changes")
+                    ? changes.between(l.poll.number("cfg"), watch.committedRevision(), whole.length) : List.of();
             news.with("cfg", watch.committedRevision());
             if (since.isEmpty()) {
                 news.with("text", whole);
