--- a/src/main/java/org/otterpond/drill/HollowNode.java
+++ b/src/main/java/org/otterpond/drill/HollowNode.java
@@ -32,6 +32,9 @@
     long heardBytes;
     long heardMessages;
     long claimed;
+    long claimMicros;
+    long repeated;
+    long repeatMicros;
     long revision;
     long revisionAt;
     int workers;
@@ -61,17 +64,34 @@
         quay.after(HEARTBEAT, () -> beats(ids, addresses, service, sequence + 1));
     }
 
-    /** Claims operation keys, so many a second. */
-    void claims(double perSecond) {
-        quay.after((long) (1e6 / perSecond * (0.5 + ThreadLocalRandom.current().nextDouble())), () -> {
-            String key = life + "-" + ++number;
-            node.ask(new Flag("ask").with("op", "claim").with("key", "host h\n" + key).with("token", key)
-                    .with("holder", node.toString()), 1_000_000, 300_000, r -> claimed += r != null
-                    && r.truth("granted") ? 1 : 0);
-            claims(perSecond);
+    /**
+     * Claims operation keys, so many a second.
+     *
+     * @param repeats the part of the claims that are for a key claimed before, which the ledger answers
+     */
+    void claims(double perSecond, double repeats) {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        quay.after((long) (1e6 / perSecond * (0.5 + random.nextDouble())), () -> {
+            boolean repeat = number > 0 && random.nextDouble() < repeats;
+            String key = life + "-" + (repeat ? random.nextLong(number) + 1 : ++number);
+            long asked = Quay.now();
+            node.ask(new Flag("ask").with("op", "claim").with("key", "host h\n" + key)
+                    .with("token", repeat ? key + "-" + asked : key).with("holder", node.toString()), 1_000_000, 300_000,
+                    r -> answered(r, asked));
+            claims(perSecond, repeats);
         });
     }
 
+    private void answered(Flag r, long asked) {
+        if (r != null && r.truth("granted")) {
+            claimed++;
+            claimMicros += Quay.now() - asked;
+        } else if (r != null) {
+            repeated++;
+            repeatMicros += Quay.now() - asked;
+        }
+    }
+
     // --------------------------------------------------------------- effects
 
     @Override
--- a/src/main/java/org/otterpond/drill/ScaleRun.java
+++ b/src/main/java/org/otterpond/drill/ScaleRun.java
@@ -49,6 +49,10 @@
     @Option(names = "--claims", defaultValue = "0", description = "Operation keys a second and hollow node.")
     private double claims;
 
+    @Option(names = "--repeats", defaultValue = "0",
+            description = "The part of the claims that are for keys claimed before, 0 to 1.")
+    private double repeats;
+
     @Option(names = "--divided", description = "The workers' service is divided by keys, which the core grants them.")
     private boolean divided;
 
@@ -128,8 +132,9 @@
     }
 
     private int measure() throws InterruptedException {
-        System.out.printf(Locale.ROOT, "%6s %8s %9s %10s %10s %9s %10s %10s %10s %10s%n", "nodes", "workers", "claims/s",
-                "primary%", "others%", "peak MB", "node msg/s", "node B/s", "news ms", "grants/s");
+        System.out.printf(Locale.ROOT, "%6s %8s %9s %10s %10s %9s %10s %10s %10s %10s %9s %9s %9s%n", "nodes", "workers", "claims/s",
+                "primary%", "others%", "peak MB", "node msg/s", "node B/s", "news ms", "grants/s",
+                "claim ms", "again/s", "again ms");
         List<String> seeds = new ArrayList<>();
         for (int s = 1; s <= Math.min(3, core); s++) {
             seeds.add("127.0.1." + s + ":" + INTERNAL);
@@ -164,10 +169,12 @@
                 sum += c;
             }
             int n = hollow.size();
-            System.out.printf(Locale.ROOT, "%6d %8d %9.0f %10.2f %10.2f %9.0f %10.2f %10.0f %10.0f %10.0f%n", n, n * workers,
+            System.out.printf(Locale.ROOT, "%6d %8d %9.0f %10.2f %10.2f %9.0f %10.2f %10.0f %10.0f %10.0f %9.2f %9.0f %9.2f%n", n,
+                    n * workers,
                     (after[2] - before[2]) / s, most, core > 1 ? (sum - most) / (core - 1) : 0, peak(),
                     (after[0] - before[0]) / s / n, (after[1] - before[1]) / s / n, slowest / 1000.0,
-                    (after[3] - before[3]) / s);
+                    (after[3] - before[3]) / s, mean(before, after, 4, 2), (after[5] - before[5]) / s,
+                    mean(before, after, 6, 5));
         }
         return 0;
     }
@@ -194,7 +201,7 @@
                     }
                     h.beats(ids, addresses, SERVICE, 1);
                     if (claims > 0) {
-                        h.claims(claims);
+                        h.claims(claims, repeats);
                     }
                 }
                 return "";
@@ -221,13 +228,24 @@
                 .with("text", Bale.pack(text)), 10_000_000, 1_000_000, r -> { });
     }
 
-    /** Messages both ways, bytes both ways, claims granted, grants and renewals that workers answered. */
+    /** Milliseconds for each of those that were counted meanwhile, 0 where there were none. */
+    private static double mean(long[] before, long[] after, int micros, int count) {
+        return (after[micros] - before[micros]) / 1000.0 / Math.max(1, after[count] - before[count]);
+    }
+
+    /**
+     * Messages both ways, bytes both ways, claims granted, grants and renewals that workers answered, microseconds that
+     * the claims took, claims answered from the ledger, microseconds that those took.
+     */
     private long[] totals() {
-        long[] t = new long[4];
+        long[] t = new long[7];
         for (HollowNode h : hollow) {
             t[0] += h.sentMessages + h.heardMessages;
             t[1] += h.sentBytes + h.heardBytes;
             t[2] += h.claimed;
+            t[4] += h.claimMicros;
+            t[5] += h.repeated;
+            t[6] += h.repeatMicros;
         }
         granted.forEach(w -> t[3] += w.served());
         return t;
