--- a/src/main/java/org/otterpond/harbour/Deck.java
+++ b/src/main/java/org/otterpond/harbour/Deck.java
@@ -22,6 +22,15 @@
     /** Runs later on the owner thread. */
     void after(long delayMicros, Runnable task);
 
+    /**
+     * Does long work that touches nothing of the owner's, beside the owner thread where there is another; what follows
+     * is done on the owner thread, also if the work failed.
+     */
+    default void apart(Runnable work, Runnable then) {
+        work.run();
+        then.run();
+    }
+
     /** A number in [0, bound). */
     long random(long bound);
 
--- a/src/main/java/org/otterpond/harbour/HarbourNode.java
+++ b/src/main/java/org/otterpond/harbour/HarbourNode.java
@@ -1,6 +1,5 @@
 package org.otterpond.harbour;
 
-import com.google.gson.JsonObject;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -9,9 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.otterpond.chart.ChartException;
-import org.otterpond.chart.ConfigurationReader;
-import org.otterpond.chart.Fields;
 import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
 import org.otterpond.signal.SignalException;
@@ -45,11 +41,7 @@
     private long lastHello = Long.MIN_VALUE / 2;
     private int helloTurn;
 
-    private JsonObject configuration;
-    private int configurationSize;
-    private long revision;
-    /** Whether changes told could not be applied here, so that the whole is asked for. */
-    private boolean wantsWhole;
+    private final ConfigurationInForce configuration;
     private long assignmentNumber;
     private final Map<String, Vessel> roster = new LinkedHashMap<>();
     private final Map<String, Long> endedAt = new HashMap<>();
@@ -89,6 +81,7 @@
         this.deck = deck;
         this.me = me;
         this.shore = shore;
+        this.configuration = new ConfigurationInForce(deck, shore::configured);
         this.askNumber = me.life() & 0xffff_ffff_0000L;
         // An answer to a poll of an earlier life must not pass for one to this life's.
         this.pollNumber = askNumber;
@@ -235,7 +228,7 @@
 
     @Override
     public void began(EpochRecord record, boolean continued) {
-        helm.began(continued);
+        helm.began(continued, configuration.held());
         learnt(record);
         tell(contacts, record);
         askPrimaryAgain();
@@ -254,8 +247,9 @@
         polled = known.primary().address();
         Flag f = new Flag("poll").with("addr", me.address()).with("name", me.name()).with("zone", me.zone())
                 .with("disk", me.diskId()).with("life", me.life()).with("epoch", tableEpoch)
-                .with("table", tableVersion).with("cfg", revision).with("pn", ++pollNumber)
-                .with("changes", wantsWhole ? null : true).with("as", assignmentNumber).with("store", me.storeId()).with("figures", shore.figures());
+                .with("table", tableVersion).with("cfg", configuration.told()).with("pn", ++pollNumber)
+                .with("changes", configuration.wantsWhole() ? null : true).with("as", assignmentNumber)
+                .with("store", me.storeId()).with("figures", shore.figures());
         if (toldEpoch != known.epoch()) {
             long sum = 0;
             for (Vessel v : roster.values()) {
@@ -292,7 +286,7 @@
         }
         toldEpoch = f.number("epoch");
         takeConfiguration(f);
-        if (revision >= f.number("rev")) {
+        if (revision() >= f.number("rev")) {
             freshAt = Math.max(freshAt, polledAt - f.number("back"));
         }
         takeTable(f);
@@ -385,40 +379,10 @@
         return from.get(at);
     }
 
-    /** Takes a newer configuration; changes to another base are passed over, the next poll says what is held. */
     private void takeConfiguration(Flag f) {
-        if (f.number("cfg") <= revision) {
-            return;
-        }
-        try {
-            JsonObject next;
-            int size;
-            if (!f.has("text")) {
-                next = configuration;
-                long at = revision;
-                // A primary of an earlier version sends one change, by itself.
-                for (Flag c : f.has("change") ? List.of(f) : f.flags("changes")) {
-                    if (c.number("base") != at) {
-                        return;
-                    }
-                    next = ConfigurationReader.modify(next, Fields.parse(Bale.unpackText(c.bytes("change"))));
-                    at = c.number("rev");
-                }
-                size = next.toString().length();
-            } else {
-                String text = Bale.unpackText(f.bytes("text"));
-                next = Fields.parse(text);
-                size = text.length();
-            }
-            shore.configured(ConfigurationReader.read(next));
-            configuration = next;
-            configurationSize = size;
-            revision = f.number("cfg");
-            wantsWhole = false;
-            deck.event("event=configuration_in_force revision=" + revision);
-        } catch (ChartException | SignalException e) {
-            deck.event("event=configuration_unreadable revision=" + f.number("cfg") + " cause=" + e.getMessage());
-            wantsWhole = !f.has("text");
+        if (f.has("cfg")) {
+            // The primary has read it already, when it took the order.
+            configuration.take(f, helm == null ? null : helm.read(f.number("cfg")));
         }
     }
 
@@ -445,11 +409,11 @@
 
     /** How long the text of what is in force here is, about. */
     public int configurationSize() {
-        return configurationSize;
+        return configuration.held().size();
     }
 
     public long revision() {
-        return revision;
+        return configuration.held().revision();
     }
 
     // ----------------------------------------------------------------- beats
--- a/src/main/java/org/otterpond/harbour/Helm.java
+++ b/src/main/java/org/otterpond/harbour/Helm.java
@@ -1,7 +1,6 @@
 package org.otterpond.harbour;
 
 import com.google.common.hash.Hashing;
-import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,10 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.otterpond.chart.ChartException;
 import org.otterpond.chart.Configuration;
-import org.otterpond.chart.ConfigurationReader;
-import org.otterpond.chart.Fields;
 import org.otterpond.keys.KeyKeeper;
 import org.otterpond.keys.KeyRange;
 import org.otterpond.signal.Bale;
@@ -54,6 +50,8 @@
     private final KeyKeeper keeper;
 
     private PendingWrite writing;
+    /** The newest version, if it has been read here. */
+    private ReadConfiguration newest;
     private final ChangeLog changes = new ChangeLog();
     private boolean newsDue;
     private long nodesVersion;
@@ -103,7 +101,8 @@
         this.keeper = new KeyKeeper(new KeeperDeck(deck, shore, watch, register, this::assign), terms.hold());
     }
 
-    void began(boolean continued) {
+    /** @param held what is in force on this node */
+    void began(boolean continued, ReadConfiguration held) {
         beganAt = deck.now();
         if (!continued) {
             term = watch.record().epoch();
@@ -112,7 +111,7 @@
         committed = watch.hold().assignments().copy();
         packedAssignmentNumber = -1;
         placement.began();
-        stock();
+        stock(held);
         register.reset(deck.now());
         watch.hold().workers().forEach(w -> register.take(Vessel.of(w, deck.now()), deck.now()));
         keeper.began(committed.under(KeyRange.PREFIX), continued);
@@ -436,7 +435,9 @@
         }
     }
 
-    private void inForce(Configuration c) {
+    private void inForce(ReadConfiguration read) {
+        newest = read;
+        Configuration c = read.checked();
         chandlery.configured(c, deck.now());
         Set<String> divided = new HashSet<>();
         c.services().values().forEach(s -> {
@@ -447,16 +448,40 @@
         keeper.configured(divided);
     }
 
-    /** Reads the limits in force for the quotas, as a new primary finds them. */
-    private void stock() {
-        if (watch.committedText() == null) {
-            return;
+    /** The version, if it is the newest one and this node has read it. */
+    ReadConfiguration read(long revision) {
+        return newest != null && newest.revision() == revision && watch.leading() ? newest : null;
+    }
+
+    /** Finds the limits in force for the quotas, as a new primary. What this node has read before is not read again. */
+    private void stock(ReadConfiguration held) {
+        long revision = watch.committedRevision();
+        if (newest != null && newest.revision() == revision) {
+            inForce(newest);
+        } else if (held.revision() == revision) {
+            if (held.checked() != null) {
+                inForce(held);
+            }
+        } else if (watch.committedText() != null) {
+            ConfigurationReading r = new ConfigurationReading(new Flag("news").with("cfg", revision).with("text",
+                    watch.packedText()), ReadConfiguration.NONE);
+            Runnable then = () -> {
+                if (r.result() == null) {
+                    deck.event("event=configuration_unreadable revision=" + revision + " cause=" + r.cause());
+                } else if (watch.leading() && watch.committedRevision() == revision) {
+                    inForce(r.result());
+                }
+            };
+            readApart(r.isLong(), r, then);
         }
-        try {
-            inForce(ConfigurationReader.read(Fields.parse(watch.committedText())));
-        } catch (ChartException e) {
-            deck.event("event=configuration_unreadable revision=" + watch.committedRevision() + " cause="
-                    + e.getMessage());
+    }
+
+    private void readApart(boolean isLong, Runnable reading, Runnable then) {
+        if (isLong) {
+            deck.apart(reading, then);
+        } else {
+            reading.run();
+            then.run();
         }
     }
 
@@ -594,54 +619,52 @@
             // Another change is being written: say nothing, the asker asks again within its time.
             return;
         }
-        JsonObject whole;
-        Configuration checked;
-        long revision;
-        try {
-            JsonObject given = Fields.parse(text);
-            revision = Fields.of(given, "").whole("revision", 1, Long.MAX_VALUE);
-            if (watch.hold().taken().holds(revision, digest)) {
-                proved(reply).accept(verdict(200, null));
-                return;
-            }
-            long current = watch.committedRevision();
-            if (base != current) {
-                proved(reply).accept(verdict(412, "X-Otterpond-Base-Revision: the current revision is " + current));
-                return;
-            }
-            if (revision <= current) {
-                proved(reply).accept(verdict(400, "revision: not above the current " + current));
-                return;
-            }
-            if (kind.equals("modify")) {
-                JsonObject now = watch.committedText() == null ? new JsonObject()
-                        : Fields.parse(watch.committedText());
-                whole = ConfigurationReader.modify(now, given);
-            } else {
-                whole = given;
-            }
-            checked = ConfigurationReader.read(whole);
-        } catch (ChartException e) {
-            // A modification is judged together with what it changes.
-            proved(reply).accept(verdict(400, e.getMessage()));
-            return;
-        }
         PendingWrite w = new PendingWrite();
         w.digest = digest;
         w.replies.add(reply);
         writing = w;
-        String full = whole.toString();
-        boolean taken = watch.propose(PackedText.put(full, new Flag("config").with("rev", revision))
-                .with("digest", digest), () -> {
+        OrderReading r = new OrderReading(kind, text, newest != null && newest.revision() == watch.committedRevision()
+                ? newest : null, watch.committedText());
+        readApart(r.isLong(), r, () -> {
+            if (writing == w) {
+                judge(w, r, base, kind.equals("modify") ? text : null);
+            }
+        });
+    }
+
+    /** Takes the order that was read, or says why not. */
+    private void judge(PendingWrite w, OrderReading r, long base, String change) {
+        long current = watch.committedRevision();
+        Flag verdict = null;
+        if (r.unreadable() != null) {
+            verdict = verdict(400, r.unreadable());
+        } else if (watch.hold().taken().holds(r.revision(), w.digest)) {
+            verdict = verdict(200, null);
+        } else if (base != current) {
+            verdict = verdict(412, "X-Otterpond-Base-Revision: the current revision is " + current);
+        } else if (r.revision() <= current) {
+            verdict = verdict(400, "revision: not above the current " + current);
+        } else if (r.invalid() != null) {
+            // A modification is judged together with what it changes.
+            verdict = verdict(400, r.invalid());
+        }
+        if (verdict != null) {
+            writing = null;
+            Flag given = verdict;
+            w.replies.forEach(reply -> proved(reply).accept(given));
+            return;
+        }
+        boolean taken = watch.propose(PackedText.put(r.packed(), new Flag("config").with("rev", r.revision()))
+                .with("digest", w.digest), () -> {
                     writing = null;
-                    if (kind.equals("modify")) {
-                        changes.add(base, revision, Bale.pack(text));
+                    if (change != null) {
+                        changes.add(base, r.revision(), Bale.pack(change));
                     } else {
                         changes.clear();
                     }
-                    inForce(checked);
-                    deck.event("event=configuration_taken revision=" + revision + " base=" + base);
-                    w.replies.forEach(r -> r.accept(verdict(200, null)));
+                    inForce(r.result());
+                    deck.event("event=configuration_taken revision=" + r.revision() + " base=" + base);
+                    w.replies.forEach(reply -> reply.accept(verdict(200, null)));
                     newsDue();
                 });
         if (!taken) {
--- a/src/main/java/org/otterpond/harbour/PackedText.java
+++ b/src/main/java/org/otterpond/harbour/PackedText.java
@@ -9,7 +9,6 @@
     private static final String FIELD = "packed";
 
     private final byte[] packed;
-    private String text;
 
     private PackedText(byte[] packed) {
         this.packed = packed;
@@ -24,8 +23,8 @@
         return f.has("text") ? new PackedText(Bale.pack(f.text("text"))) : null;
     }
 
-    static Flag put(String text, Flag into) {
-        return into.with(FIELD, Bale.pack(text));
+    static PackedText of(String text) {
+        return new PackedText(Bale.pack(text));
     }
 
     static Flag put(PackedText text, Flag into) {
@@ -36,14 +35,12 @@
         return packed;
     }
 
-    String text() {
-        if (text == null) {
-            try {
-                text = Bale.unpackText(packed);
-            } catch (SignalException e) {
-                throw new IllegalStateException("a text that was packed here or arrived whole", e);
-            }
+    /** Long texts take a while: it is for the caller to keep what is made of it. */
+    String unpacked() {
+        try {
+            return Bale.unpackText(packed);
+        } catch (SignalException e) {
+            throw new IllegalStateException("a text that was packed here or arrived whole", e);
         }
-        return text;
     }
 }
--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -221,8 +221,8 @@
         return committedRevision;
     }
 
-    public String committedText() {
-        return committedText == null ? null : committedText.text();
+    PackedText committedText() {
+        return committedText;
     }
 
     /** The same as it goes to nodes; null if there is none. */
--- a/src/main/java/org/otterpond/keel/Purser.java
+++ b/src/main/java/org/otterpond/keel/Purser.java
@@ -63,7 +63,7 @@
         // What is in memory already includes the records that wait, so a fresh file stands for them too.
         List<Flag> fresh = logbook.size() > rotateAt || !logbook.sound() ? base.get() : null;
         disk.execute(() -> {
-            boolean ok = write(now, fresh);
+            boolean ok = written(now, fresh);
             owner.execute(() -> {
                 writing = false;
                 told.forEach(c -> c.accept(ok));
@@ -72,6 +72,16 @@
         });
     }
 
+    /** Whatever comes of it is an answer: a node whose writer ended unseen would count as a member and hold nothing. */
+    private boolean written(List<byte[]> now, List<Flag> fresh) {
+        try {
+            return write(now, fresh);
+        } catch (RuntimeException | Error e) {
+            LOG.error("event=journal_write_failed cause=\"{}\"", String.valueOf(e));
+            return false;
+        }
+    }
+
     private boolean write(List<byte[]> now, List<Flag> fresh) {
         if (fresh != null) {
             try {
--- a/src/main/java/org/otterpond/keel/SegmentPurser.java
+++ b/src/main/java/org/otterpond/keel/SegmentPurser.java
@@ -130,17 +130,29 @@
         } catch (LogbookException e) {
             LOG.warn("event=journal_append_failed cause=\"{}\"", String.valueOf(e.getCause()));
             return null;
+        } catch (RuntimeException | Error e) {
+            LOG.error("event=journal_write_failed cause=\"{}\"", String.valueOf(e));
+            return null;
         }
     }
 
     @Override
     public void read(long place, Consumer<Flag> use) {
         disk.execute(() -> {
-            Flag f = log.read(place);
+            Flag f = read(place);
             owner.execute(() -> use.accept(f));
         });
     }
 
+    private Flag read(long place) {
+        try {
+            return log.read(place);
+        } catch (RuntimeException | Error e) {
+            LOG.error("event=journal_read_failed cause=\"{}\"", String.valueOf(e));
+            return null;
+        }
+    }
+
     @Override
     public boolean nearlyFull() {
         return total > capacity * FULL;
--- a/src/main/java/org/otterpond/keel/ShipsDeck.java
+++ b/src/main/java/org/otterpond/keel/ShipsDeck.java
@@ -1,5 +1,8 @@
 package org.otterpond.keel;
 
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.otterpond.harbour.Deck;
@@ -14,6 +17,8 @@
     private static final Logger LOG = LoggerFactory.getLogger("org.otterpond.harbour");
 
     private final Quay quay;
+    private final ExecutorService reader = Executors.newSingleThreadExecutor(
+            new ThreadFactoryBuilder().setNameFormat("reader").setDaemon(true).build());
     private Links links;
     private Purser purser;
 
@@ -51,6 +56,19 @@
         quay.after(delayMicros, task);
     }
 
+    @Override
+    public void apart(Runnable work, Runnable then) {
+        reader.execute(() -> {
+            try {
+                work.run();
+            } catch (RuntimeException | Error e) {
+                LOG.error("event=work_failed cause=\"{}\"", String.valueOf(e));
+            } finally {
+                quay.execute(then);
+            }
+        });
+    }
+
     @Override
     public long random(long bound) {
         return ThreadLocalRandom.current().nextLong(bound);
--- a/src/main/java/org/otterpond/logbook/Frames.java
+++ b/src/main/java/org/otterpond/logbook/Frames.java
@@ -1,6 +1,8 @@
 package org.otterpond.logbook;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.util.zip.CRC32C;
 import org.otterpond.signal.Bale;
 import org.otterpond.signal.Flag;
@@ -12,6 +14,7 @@
     static final int HEAD = 8;
     static final int MAX_RECORD = 48 << 20;
     private static final int LONG = 4096;
+    private static final int SLICE = 64 * 1024;
     private static final int ZLIB = 0x78;
 
     private Frames() {}
@@ -43,6 +46,34 @@
                 .put(body).array();
     }
 
+    /**
+     * Writes the bytes in slices: a channel copies each buffer that it is given outside the heap as a whole, where
+     * there is little room, and a thread that finds none there fails by an Error.
+     */
+    static long write(FileChannel c, byte[] bytes, long at) throws IOException {
+        long to = at;
+        for (int from = 0; from < bytes.length; from += SLICE) {
+            ByteBuffer b = ByteBuffer.wrap(bytes, from, Math.min(SLICE, bytes.length - from));
+            while (b.hasRemaining()) {
+                to += c.write(b, to);
+            }
+        }
+        return to;
+    }
+
+    /** Reads the bytes in slices too; false if there are not so many. */
+    static boolean read(FileChannel c, byte[] bytes, long at) throws IOException {
+        for (int from = 0; from < bytes.length; from += SLICE) {
+            ByteBuffer b = ByteBuffer.wrap(bytes, from, Math.min(SLICE, bytes.length - from));
+            while (b.hasRemaining()) {
+                if (c.read(b, at + b.position()) < 0) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
     static int crcOf(byte[] bytes, int offset, int length) {
         CRC32C c = new CRC32C();
         c.update(bytes, offset, length);
--- a/src/main/java/org/otterpond/logbook/Logbook.java
+++ b/src/main/java/org/otterpond/logbook/Logbook.java
@@ -177,15 +177,11 @@
         }
         ByteBuffer b = ByteBuffer.allocate(size);
         frames.forEach(b::put);
-        b.flip();
         try {
-            long at = end;
-            while (b.hasRemaining()) {
-                at += channel.write(b, at);
-            }
+            long at = Frames.write(channel, b.array(), end);
             channel.force(false);
             end = at;
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | Error e) {
             try {
                 channel.truncate(end);
             } catch (IOException ignored) {
@@ -211,10 +207,7 @@
             all.add(new Flag("base").with("count", base.size()).with("disk", diskId));
             all.addAll(base);
             for (Flag f : all) {
-                ByteBuffer b = ByteBuffer.wrap(frame(f));
-                while (b.hasRemaining()) {
-                    at += fresh.write(b, at);
-                }
+                at = Frames.write(fresh, frame(f), at);
             }
             fresh.force(true);
             folder.sync();
@@ -223,7 +216,7 @@
             end = at;
             rotated = true;
             letGo(old, next);
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | Error e) {
             rotated = false;
             giveUp(fresh, file);
             throw new LogbookException("journal not rotated", e);
--- a/src/main/java/org/otterpond/logbook/SegmentLog.java
+++ b/src/main/java/org/otterpond/logbook/SegmentLog.java
@@ -169,7 +169,7 @@
             sizes.put(n, at);
             end = at;
             sound = true;
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | Error e) {
             // It may be there after a loss of power, and is read in its order then: nothing goes behind the segment
             // before it any more until another one has been begun.
             sound = false;
@@ -201,18 +201,13 @@
     }
 
     private static long write(FileChannel c, long at, List<byte[]> frames) throws IOException {
-        long to = at;
         int size = 0;
         for (byte[] f : frames) {
             size += f.length;
         }
         ByteBuffer b = ByteBuffer.allocate(size);
         frames.forEach(b::put);
-        b.flip();
-        while (b.hasRemaining()) {
-            to += c.write(b, to);
-        }
-        return to;
+        return Frames.write(c, b.array(), at);
     }
 
     /** Appends and syncs once; the places of the records. After a failure nothing of them counts. */
@@ -233,7 +228,7 @@
             c.force(false);
             sizes.put(segment, end);
             return places;
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | Error e) {
             // What of it stands there may look whole later: nothing is written behind it any more.
             sound = false;
             end = sizes.get(segment);
@@ -264,13 +259,9 @@
             if (length <= 0 || length > Frames.MAX_RECORD) {
                 return null;
             }
-            ByteBuffer body = ByteBuffer.allocate(length);
-            while (body.hasRemaining()) {
-                if (c.read(body, at + Frames.HEAD + body.position()) < 0) {
-                    return null;
-                }
-            }
-            return Frames.crcOf(body.array(), 0, length) == crc ? FlagCodec.decode(body.array(), 0, length) : null;
+            byte[] body = new byte[length];
+            return Frames.read(c, body, at + Frames.HEAD) && Frames.crcOf(body, 0, length) == crc
+                    ? FlagCodec.decode(body, 0, length) : null;
         } catch (IOException | SignalException e) {
             return null;
         }
--- a/src/main/java/org/otterpond/sim/SimNode.java
+++ b/src/main/java/org/otterpond/sim/SimNode.java
@@ -50,6 +50,8 @@
     final Map<Integer, GroupView> partitions = new HashMap<>();
     /** Whether what the node sends to itself arrives at once, as in the daemon, and not by the network. */
     boolean selfAtOnce;
+    /** How long work takes that is done beside the owner thread, at least. */
+    long readingMicros;
     private boolean frozen;
     /** Of a process that wakes: what it has put off to the end of its turn. */
     private Deque<Runnable> soon;
@@ -280,6 +282,12 @@
             }
         }
 
+        @Override
+        public void apart(Runnable work, Runnable then) {
+            work.run();
+            after(readingMicros + world.random.nextInt(20_000), then);
+        }
+
         @Override
         public long random(long bound) {
             return Math.floorMod(world.random.nextLong(), bound);
--- a/src/test/java/org/otterpond/harbour/HundredsOfChangesTest.java
+++ b/src/test/java/org/otterpond/harbour/HundredsOfChangesTest.java
@@ -61,7 +61,7 @@
         long entry = 0;
         for (long rev = 1; rev <= changes; rev++) {
             String full = configuration(routes, rev);
-            Flag change = PackedText.put(full, new Flag("config").with("rev", rev)).with("digest", String.format("%064x", rev));
+            Flag change = PackedText.put(PackedText.of(full), new Flag("config").with("rev", rev)).with("digest", String.format("%064x", rev));
             text = full.length();
             entry = FlagCodec.encode(change).length;
             hold.apply(change, 0);
@@ -93,7 +93,7 @@
             }
         });
         assertEquals(changes, read.revision());
-        assertEquals(configuration(routes, changes), read.text().text());
+        assertEquals(configuration(routes, changes), read.text().unpacked());
         assertEquals(rotations > 0 ? claims : 0, read.claimCount());
     }
 
--- a/src/test/java/org/otterpond/logbook/LogbookTest.java
+++ b/src/test/java/org/otterpond/logbook/LogbookTest.java
@@ -1,6 +1,8 @@
 package org.otterpond.logbook;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.otterpond.signal.Flag;
@@ -98,4 +101,33 @@
         List<Flag> read = JournalReading.all(folder);
         assertEquals(List.of("k1", "k2", "k3"), read.subList(1, 4).stream().map(f -> f.text("key")).toList());
     }
+
+    /** The tests run with 4 MB for all buffers outside the heap. */
+    @Test
+    void longRecordsNeedLittleRoomOutsideTheHeap(@TempDir Path folder) throws Exception {
+        byte[] body = new byte[9 << 20];
+        new Random(1).nextBytes(body);
+        Flag state = new Flag("state").with("packed", body);
+        Logbook l = blank(folder);
+        l.append(List.of(Logbook.frame(state)));
+        l.rotate("disk-1", List.of(state));
+        l.append(List.of(Logbook.frame(record(1))));
+        List<Flag> read = JournalReading.all(folder);
+        assertEquals(3, read.size());
+        assertArrayEquals(body, read.get(1).bytes("packed"));
+        assertEquals("k1", read.get(2).text("key"));
+    }
+
+    @Test
+    void rotationThatFailsByMoreThanTheDiskIsAFailedOneToo(@TempDir Path folder) throws Exception {
+        Logbook l = blank(folder);
+        l.append(List.of(Logbook.frame(record(1))));
+        Flag bad = new Flag("state").with("packed", new Object());
+        assertThrows(LogbookException.class, () -> l.rotate("disk-1", List.of(bad)));
+        assertFalse(l.sound());
+        assertThrows(LogbookException.class, () -> l.append(List.of(Logbook.frame(record(2)))));
+        l.rotate("disk-1", List.of(record(1)));
+        l.append(List.of(Logbook.frame(record(3))));
+        assertEquals(3, JournalReading.all(folder).size());
+    }
 }
--- a/src/test/java/org/otterpond/logbook/SegmentLogTest.java
+++ b/src/test/java/org/otterpond/logbook/SegmentLogTest.java
@@ -1,5 +1,6 @@
 package org.otterpond.logbook;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +11,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.otterpond.signal.Flag;
@@ -78,4 +80,15 @@
         opened(folder, seen);
         assertEquals(List.of("h", "a", "next"), seen);
     }
+
+    /** The tests run with 4 MB for all buffers outside the heap. */
+    @Test
+    void longRecordsNeedLittleRoomOutsideTheHeap() throws LogbookException {
+        byte[] body = new byte[7 << 20];
+        new Random(1).nextBytes(body);
+        SegmentLog log = opened(folder, new ArrayList<>());
+        log.begin(List.of(new Flag("head").with("n", "h1")));
+        long[] places = log.append(List.of(SegmentLog.frame(new Flag("r").with("n", "a").with("body", body))));
+        assertArrayEquals(body, log.read(places[0]).bytes("body"));
+    }
 }
