--- a/src/test/java/org/otterpond/sim/SecondLossTest.java
+++ b/src/test/java/org/otterpond/sim/SecondLossTest.java
@@ -187,10 +187,27 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void noEpochBeginsWithoutMajoritiesOfTheOldAndTheNew(boolean grows) {
+        noEpochOfTwo(grows, false);
+    }
+
+    /**
+     * One member takes another's place: the two are a majority of the three new ones and no more than one of the three old.
+     * A record that they alone accepted has never begun, and what goes on from it must have the old ones' majority too.
+     */
+    @Test
+    void noEpochBeginsOnAnExchangeThatTheOldMajorityHasNotAccepted() {
+        noEpochOfTwo(true, true);
+    }
+
+    private static void noEpochOfTwo(boolean grows, boolean exchanges) {
         for (long offset = 0; offset < 12_000; offset += 500) {
             SimFleet f = fleet(620, grows ? 3 : 5, 1);
             SimNode primary = f.leader();
             SimNode backup = backup(f);
+            if (exchanges) {
+                remove(f, f.disks.stream().filter(d -> d != primary && d != backup).findFirst().orElseThrow());
+                f.world.run(2 * S);
+            }
             MembershipChecker epochs = new MembershipChecker(f);
             int from = f.world.log.size();
             if (grows) {
@@ -202,7 +219,7 @@
                 f.world.run(100);
             }
             f.world.run(offset);
-            SimNode with = grows ? backup : f.disks.stream().filter(d -> d != primary && d != backup).findFirst()
+            SimNode with = grows && !exchanges ? backup : f.disks.stream().filter(d -> d != primary && d != backup).findFirst()
                     .orElseThrow();
             f.disks.stream().filter(d -> d != primary && d != with).forEach(d -> {
                 f.world.cut(primary.address, d.address);
