What goes on from a record that never began wants the majorities of the sets before it too

Cause: an exchange of one member in a core of an odd number leaves majorities that need not meet. A record of it that only {a, d} of {a, b, d} had accepted never began, but a candidate that went on from it asked for a majority of its members alone, and began beside one that went on from the record before with {b, c}. Change: records carry the sets of members after which no epoch was known to have begun; a majority of each must promise and accept until an epoch on them has begun, which is journalled. Empty, and nothing on the wire, where members stay.

--- a/src/main/java/org/otterpond/harbour/Watch.java
+++ b/src/main/java/org/otterpond/harbour/Watch.java
@@ -48,6 +48,8 @@
     /** The epoch last promised to another member in this life; its candidate may ask again. */
     private long promisedTo;
     private EpochRecord record;
+    /** The newest epoch of which this node knows that it has begun. */
+    private long begunEpoch;
 
     /** The newest record heard of; a hint, never a vote. */
     private EpochRecord known;
@@ -166,6 +168,7 @@
                 known = record;
                 placeLost = true;
             }
+            case "begun" -> begunEpoch = Math.max(begunEpoch, f.number("epoch"));
             case "state" -> hold.load(unpacked(f), deck.now());
             case "claim", "free", "config", "worker", Assignments.KIND -> hold.apply(f, deck.now());
             default -> deck.event("event=journal_record_skipped kind=" + f.kind());
@@ -189,6 +192,9 @@
         if (record != null) {
             out.add(new Flag("accept").with("record", record.toFlag()));
         }
+        if (begunEpoch > 0) {
+            out.add(new Flag("begun").with("epoch", begunEpoch));
+        }
         out.add(hold.snapshot());
         return out;
     }
@@ -729,9 +735,37 @@
         askPromises(c, c.base);
     }
 
+    /**
+     * The sets of members of which each must agree to what follows the record: its own, and those before it, unless it is
+     * known to have begun. Two candidates then meet in a majority of the newest set after which an epoch has begun, whichever records they
+     * go on from; the majorities of two sets that differ in one member need not meet.
+     */
+    private List<List<Berth>> agreeing(EpochRecord r) {
+        List<List<Berth>> out = new ArrayList<>();
+        if (r.epoch() > begunEpoch) {
+            out.addAll(r.priors());
+        }
+        out.add(r.members());
+        return out;
+    }
+
+    private boolean agreed(EpochRecord base, Set<String> disks) {
+        return agreeing(base).stream().allMatch(s -> EpochRecord.isMajority(s, disks));
+    }
+
+    /** An epoch has begun, so that what was in force before counts no more. That must outlast this process. */
+    private void hasBegun(long epoch) {
+        if (epoch > begunEpoch) {
+            begunEpoch = epoch;
+            if (record.epoch() == epoch && !record.priors().isEmpty()) {
+                write(new Flag("begun").with("epoch", epoch), ok -> { });
+            }
+        }
+    }
+
     private void askPromises(Candidacy c, EpochRecord base) {
-        Set<Berth> all = new HashSet<>(base.members());
-        all.addAll(c.members);
+        Set<Berth> all = new HashSet<>(c.members);
+        agreeing(base).forEach(all::addAll);
         for (Berth m : all) {
             if (!m.diskId().equals(self.diskId()) && !c.promises.containsKey(m.diskId())) {
                 deck.send(m.address(), new Flag("prep").with("epoch", c.epoch).with("to", m.diskId())
@@ -778,6 +812,9 @@
         if (fresh < c.members.size() / 2 + 1 || !newcomersIn) {
             return;
         }
+        if (!agreed(c.base, c.promises.keySet())) {
+            return;
+        }
         long have = c.base.members().stream().filter(m -> c.promises.containsKey(m.diskId())).count();
         // The best that can be hoped for: nobody is left to wait for, or the group stays as it is.
         List<Berth> stay = usable(c).stream().filter(m -> c.base.inGroup(m.diskId()) && !excluded(m) && !leaving(m))
@@ -870,15 +907,16 @@
         c.accepting = true;
         c.progressAt = deck.now();
         c.snapshot = null;
-        c.proposal = new EpochRecord(c.base.fleet(), c.epoch, self, c.backups, c.members, c.base.target());
+        List<List<Berth>> priors = agreeing(c.base).stream().filter(s -> !EpochRecord.sameSet(s, c.members)).toList();
+        c.proposal = new EpochRecord(c.base.fleet(), c.epoch, self, c.backups, c.members, c.base.target(), priors);
         EpochRecord p = c.proposal;
         accept(p, ok -> {
             if (ok && candidacy == c) {
                 acceptedBy(c, self.diskId());
             }
         });
-        Set<Berth> all = new HashSet<>(c.base.members());
-        all.addAll(c.members);
+        Set<Berth> all = new HashSet<>(c.members);
+        agreeing(c.base).forEach(all::addAll);
         for (Berth m : all) {
             if (!m.diskId().equals(self.diskId())) {
                 deck.send(m.address(), new Flag("acc").with("record", p.toFlag()).with("to", m.diskId())
@@ -889,9 +927,8 @@
 
     private void acceptedBy(Candidacy c, String diskId) {
         c.accepts.add(diskId);
-        long old = c.base.members().stream().filter(m -> c.accepts.contains(m.diskId())).count();
-        long fresh = c.members.stream().filter(m -> c.accepts.contains(m.diskId())).count();
-        if (old >= c.base.quorum() && fresh >= c.members.size() / 2 + 1 && c.accepts.contains(self.diskId())) {
+        if (agreed(c.base, c.accepts) && EpochRecord.isMajority(c.members, c.accepts)
+                && c.accepts.contains(self.diskId())) {
             begin(c);
         }
     }
@@ -907,6 +944,7 @@
         }
         leading = true;
         begun = c.epoch;
+        hasBegun(c.epoch);
         seq = 0;
         long now = deck.now();
         backupHeard.clear();
@@ -1278,6 +1316,8 @@
         long e = f.number("epoch");
         boolean follows = false;
         if (e == record.epoch()) {
+            // Only who has begun an epoch pings in its name.
+            hasBegun(e);
             primaryHeard = deck.now();
             if (promised == e) {
                 follows = true;
