--- a/src/main/java/org/otterpond/drill/Rehearsal.java
+++ b/src/main/java/org/otterpond/drill/Rehearsal.java
@@ -77,14 +77,14 @@
                 + "\"capacity_slots\":4,\"state\":\"in_service\",\"warmup_left_ms\":0,\"call_sequence\":1}";
         boolean ok = until("POST", CONTROL, "/-/Configuration.Replace", config,
                 Map.of("X-Otterpond-Base-Revision", "0"));
-        ok &= until("POST", CONTROL, "/-/Instances.Heartbeat/i-rehearsal", beat, Map.of());
-        ok &= until("GET", READY, "/-/readiness", null, Map.of());
-        ok &= until("GET", FRONT, "/a/1", null, Map.of("X-Otterpond-Attempt-Id", "1"));
+        ok = ok && until("POST", CONTROL, "/-/Instances.Heartbeat/i-rehearsal", beat, Map.of());
+        ok = ok && until("GET", READY, "/-/readiness", null, Map.of());
+        ok = ok && until("GET", FRONT, "/a/1", null, Map.of("X-Otterpond-Attempt-Id", "1"));
         for (int i = 0; i < 20; i++) {
-            ok &= until("POST", FRONT, "/k/1", "body",
+            ok = ok && until("POST", FRONT, "/k/1", "body",
                     Map.of("X-Otterpond-Attempt-Id", "k" + i, "X-Otterpond-Operation-Key", "key" + i / 2));
         }
-        ok &= until("GET", CONTROL, "/-/Configuration.Read", null, Map.of());
+        ok = ok && until("GET", CONTROL, "/-/Configuration.Read", null, Map.of());
         System.out.println("event=rehearsed ok=" + ok);
         return ok;
     }
