--- a/src/test/java/org/otterpond/keel/CoreLeavingTest.java
+++ b/src/test/java/org/otterpond/keel/CoreLeavingTest.java
@@ -3,21 +3,19 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.otterpond.chart.Settings;
 
 /** A process of the core that is told to end: it holds one of the copies that are wanted. */
 class CoreLeavingTest {
     @Test
     void memberThatNobodyCanReplaceStaysForItsWholeTime(@TempDir Path folder) throws Exception {
-        int internal = freePort();
-        int control = freePort();
+        int internal = LoopbackNode.freePort();
+        int control = LoopbackNode.freePort();
         CountDownLatch ended = new CountDownLatch(1);
         Keel leaver = start(folder, "127.0.0.1", internal, control, ended::countDown);
         start(folder, "127.0.0.2", internal, control, () -> { });
@@ -29,12 +27,6 @@
         assertTrue(ended.await(6, TimeUnit.SECONDS), "its time is up all the same");
     }
 
-    private static int freePort() throws Exception {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
-        }
-    }
-
     private static Keel start(Path folder, String ip, int internal, int control, Runnable end) throws Exception {
         Path file = folder.resolve(ip + ".json");
         Files.writeString(file, "{\"node_name\":\"" + ip + "\",\"ip\":\"" + ip + "\",\"listen_points\":{"
@@ -42,16 +34,6 @@
                 + internal + "],\"seed_peers\":[\"127.0.0.1:" + control + "\",\"127.0.0.2:" + control
                 + "\"],\"initial_start\":true,\"data_dir\":\"" + folder.resolve("data-" + ip)
                 + "\",\"bounds\":{\"grace_s\":6}}");
-        Keel k = new Keel(file, Settings.load(file), end);
-        Thread t = new Thread(() -> {
-            try {
-                k.run();
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        t.setDaemon(true);
-        t.start();
-        return k;
+        return LoopbackNode.run(file, end);
     }
 }
--- a/src/test/java/org/otterpond/keel/LoopbackNode.java
+++ b/src/test/java/org/otterpond/keel/LoopbackNode.java
@@ -25,7 +25,7 @@
         keel = run(file, end);
     }
 
-    private static Keel run(Path file, Runnable end) throws Exception {
+    static Keel run(Path file, Runnable end) throws Exception {
         Keel k = new Keel(file, Settings.load(file), end);
         Thread t = new Thread(() -> {
             try {
@@ -49,7 +49,7 @@
         return run(file, end);
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket s = new ServerSocket(0)) {
             return s.getLocalPort();
         }
