Review: scripts record each message, and exit with 2 where they could not run

Cause: an error of a script itself would have ended it with 1, as a broken rule does, and the record had only what was broken.

--- a/review/src/FrozenStore.java
+++ b/review/src/FrozenStore.java
@@ -72,16 +72,21 @@
     this.record = record;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    int result;
+  public static void main(String[] arguments) throws IOException {
+    int result = 2;
     try (PrintWriter record =
         new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])))) {
-      result = new FrozenStore(record).run();
+      try {
+        result = new FrozenStore(record).run();
+      } catch (Exception e) {
+        e.printStackTrace();
+        record.println("could not run: " + e);
+      }
     }
     System.exit(result);
   }
 
-  private void note(String line) {
+  private synchronized void note(String line) {
     String timed = String.format("%7.3f %s", (System.currentTimeMillis() - began) / 1e3, line);
     System.out.println(timed);
     record.println(timed);
@@ -236,6 +241,8 @@
     int queued = 0;
     for (Map.Entry<String, Sent> entry : messages.entrySet()) {
       Sent sent = entry.getValue();
+      record.println("message " + entry.getKey() + " sent at " + (sent.sentAt - began) + " ms, status "
+          + sent.status + ", id " + sent.id + ", runs " + sent.runs);
       if (sent.status != 202) {
         continue;
       }
--- a/review/src/LateRequests.java
+++ b/review/src/LateRequests.java
@@ -51,10 +51,15 @@
     this.record = record;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    int result;
+  public static void main(String[] arguments) throws IOException {
+    int result = 2;
     try (PrintWriter record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])))) {
-      result = new LateRequests(record).run();
+      try {
+        result = new LateRequests(record).run();
+      } catch (Exception e) {
+        e.printStackTrace();
+        record.println("could not run: " + e);
+      }
     }
     System.exit(result);
   }
--- a/review/src/StoreLosses.java
+++ b/review/src/StoreLosses.java
@@ -66,10 +66,15 @@
     this.record = record;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    int result;
+  public static void main(String[] arguments) throws IOException {
+    int result = 2;
     try (PrintWriter record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])))) {
-      result = new StoreLosses(record).run();
+      try {
+        result = new StoreLosses(record).run();
+      } catch (Exception e) {
+        e.printStackTrace();
+        record.println("could not run: " + e);
+      }
     }
     System.exit(result);
   }
@@ -239,6 +244,9 @@
     List<Accepted> all = new ArrayList<>(accepted.values());
     all.sort(java.util.Comparator.comparingLong(Accepted::atMillis));
     List<Accepted> asked = all.subList(Math.max(0, all.size() - MAX_ASKED), all.size());
+    for (Accepted message : all) {
+      record.println("accepted at " + message.atMillis() + " ms: " + message.attempt() + " id " + message.id());
+    }
     List<String> lost = java.util.Collections.synchronizedList(new ArrayList<>());
     ExecutorService askers = Executors.newFixedThreadPool(40);
     for (Accepted message : asked) {
@@ -267,6 +275,9 @@
         if (answer != null
             && answer.status() == 200
             && Arrays.equals(answer.body(), body(message.attempt()))) {
+          synchronized (this) {
+            record.println("came back: " + message.attempt());
+          }
           return;
         }
       } catch (IOException e) {
