A message that may not be delivered now is returned to its partition, not dropped

Cause: the partition went by the report of its group, which a tick makes; the dispatcher asked the lease, by the clock. Between the end of a lease and the next tick the dispatcher dropped what it was handed, and the partition went on counting it as offered. The next beacon renewed the lease and no report ever came.

Change: a queued message at its primary is in one DeliveryStage, each of which names the event that ends it; the listener of deliveries returns what it cannot deliver at this moment, and drops only what does not answer the newest offer. Messages that wait for a worker expire too, attempts of a dropped copy are ignored, and the end of a message that is rejected offers it again. StrandedMessageMonitor counts, every 2 s and in the simulator, the messages that nothing will move on.

--- a/src/main/java/org/otterpond/messaging/ActiveDeliveries.java
+++ b/src/main/java/org/otterpond/messaging/ActiveDeliveries.java
@@ -38,6 +38,11 @@
     }
   }
 
+  /** Returns a copy of the counts by partition; partitions without deliveries are left out. */
+  Map<MessagePartition, Integer> countByPartition() {
+    return new HashMap<>(countByPartition);
+  }
+
   int total() {
     int total = 0;
     for (int count : countByPartition.values()) {
--- a/src/main/java/org/otterpond/messaging/DelayedMessages.java
+++ b/src/main/java/org/otterpond/messaging/DelayedMessages.java
@@ -1,6 +1,8 @@
 package org.otterpond.messaging;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
 import org.otterpond.replication.ReplicaGroupRuntime;
@@ -25,8 +27,8 @@
     this.due = due;
   }
 
+  /** Adds a message that is not there yet. */
   void add(Message message) {
-    earliestFirst.remove(message);
     earliestFirst.add(message);
     schedule();
   }
@@ -35,8 +37,20 @@
     earliestFirst.remove(message);
   }
 
-  void clear() {
+  /** Removes and returns all messages. */
+  List<Message> removeAll() {
+    List<Message> all = new ArrayList<>(earliestFirst);
     earliestFirst.clear();
+    return all;
+  }
+
+  int size() {
+    return earliestFirst.size();
+  }
+
+  /** Returns whether a timer will run when the earliest message is due, or before. */
+  boolean isScheduled() {
+    return earliestFirst.isEmpty() || timerAtMicros <= earliestFirst.peek().dueAtMicros;
   }
 
   private void schedule() {
--- a/src/main/java/org/otterpond/messaging/DeliveryQueue.java
+++ b/src/main/java/org/otterpond/messaging/DeliveryQueue.java
@@ -1,8 +1,8 @@
 package org.otterpond.messaging;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -71,8 +71,9 @@
     return all;
   }
 
-  Iterator<PendingDelivery> iterator() {
-    return waiting.iterator();
+  /** Returns all that wait, in no order. */
+  Collection<PendingDelivery> waiting() {
+    return waiting;
   }
 
   /** To be called when a worker may have a free slot. */
@@ -93,11 +94,7 @@
   }
 
   private void deliverWaiting() {
-    while (!waiting.isEmpty()) {
-      if (!waiting.peek().active()) {
-        waiting.poll();
-        continue;
-      }
+    while (findDeliverable()) {
       WorkerEndpoint endpoint = endpoints.select(EventLoop.now(), Set.of());
       if (endpoint == null) {
         schedule(NO_WORKER_RETRY_MICROS);
@@ -111,6 +108,18 @@
     }
   }
 
+  /**
+   * Returns the messages at the head to their partitions that may not be delivered at this moment.
+   *
+   * @return whether the head may be delivered; false if nothing is left
+   */
+  private boolean findDeliverable() {
+    while (!waiting.isEmpty() && !waiting.peek().isDeliverable()) {
+      waiting.poll().giveBack();
+    }
+    return !waiting.isEmpty();
+  }
+
   private void requestToken() {
     if (tokenRequests < Math.min(MAX_TOKEN_REQUESTS, waiting.size())) {
       tokenRequests++;
@@ -145,23 +154,18 @@
 
   /** Uses a token for the first message that can be delivered, or gives it back. */
   private void deliverWithToken() {
-    while (!waiting.isEmpty()) {
-      PendingDelivery delivery = waiting.poll();
-      if (!delivery.active()) {
-        continue;
-      }
-      WorkerEndpoint endpoint = endpoints.select(EventLoop.now(), Set.of());
-      if (endpoint == null) {
-        waiting.add(delivery);
-        break;
-      }
-      target.deliver(this, delivery, endpoint);
+    WorkerEndpoint endpoint =
+        findDeliverable() ? endpoints.select(EventLoop.now(), Set.of()) : null;
+    if (endpoint != null) {
+      target.deliver(this, waiting.poll(), endpoint);
       deliverSoon();
       return;
     }
     if (rateLimit != null) {
       quota.giveBack(rateLimit);
     }
-    schedule(NO_WORKER_RETRY_MICROS);
+    if (!waiting.isEmpty()) {
+      schedule(NO_WORKER_RETRY_MICROS);
+    }
   }
 }
--- a/src/main/java/org/otterpond/messaging/DeliveryResultHandler.java
+++ b/src/main/java/org/otterpond/messaging/DeliveryResultHandler.java
@@ -106,7 +106,7 @@
   /** Offers the message again after a backoff that doubles with each retry and is spread. */
   private void retry(PendingDelivery delivery, long firstBackoffMicros) {
     Message message = delivery.message();
-    if (!delivery.active()) {
+    if (!delivery.partition().serving()) {
       retriesById.remove(message.id());
       delivery.partition().later(message, firstBackoffMicros);
       return;
--- a/src/main/java/org/otterpond/messaging/Message.java
+++ b/src/main/java/org/otterpond/messaging/Message.java
@@ -33,11 +33,11 @@
   /** The content, while there is room for it in memory. */
   MessageContent cachedContent;
 
-  /** Whether the delivery has it; so it is offered once at a time. */
-  boolean offered;
+  /** Where it is on its way to a worker; changed by {@link DeliveryStages} only. */
+  DeliveryStage stage = DeliveryStage.IDLE;
 
-  /** Whether its end is being replicated. */
-  boolean ending;
+  /** How often it has been offered for delivery; tells an earlier offer from the present one. */
+  long offers;
 
   private Message(MessageKeys keys, MessageDestination destination) {
     this.keys = keys;
--- a/src/main/java/org/otterpond/messaging/MessageDispatcher.java
+++ b/src/main/java/org/otterpond/messaging/MessageDispatcher.java
@@ -1,8 +1,8 @@
 package org.otterpond.messaging;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -44,6 +44,9 @@
   /** Messages that were accepted under a newer configuration than the one known here. */
   private final List<PendingDelivery> awaitingConfiguration = new ArrayList<>();
 
+  /** Messages that are routed anew in the next round. */
+  private final List<PendingDelivery> awaitingRoute = new ArrayList<>();
+
   private MessageStore store;
   private QuotaCache quota;
   private GatewayConfiguration configuration;
@@ -98,10 +101,16 @@
     fixedEndpoints.configured(newConfiguration);
     queues.forEach(this::configure);
     // Routes may have changed: what waits is routed anew.
-    List<PendingDelivery> waiting = new ArrayList<>(awaitingConfiguration);
+    awaitingRoute.addAll(awaitingConfiguration);
     awaitingConfiguration.clear();
-    queues.values().forEach(queue -> waiting.addAll(queue.removeAll()));
-    eventLoop.after(0, () -> waiting.forEach(this::routeToQueue));
+    queues.values().forEach(queue -> awaitingRoute.addAll(queue.removeAll()));
+    eventLoop.after(0, this::routeAll);
+  }
+
+  private void routeAll() {
+    List<PendingDelivery> waiting = new ArrayList<>(awaitingRoute);
+    awaitingRoute.clear();
+    waiting.forEach(this::routeToQueue);
   }
 
   @Override
@@ -151,7 +160,7 @@
 
   @Override
   public void ready(MessagePartition partition, Message message) {
-    routeToQueue(new PendingDelivery(partition, message, 0, EventLoop.now()));
+    routeToQueue(PendingDelivery.of(partition, message, EventLoop.now()));
   }
 
   private Route route(Message message) {
@@ -160,7 +169,9 @@
 
   private void routeToQueue(PendingDelivery delivery) {
     Message message = delivery.message();
-    if (!delivery.active()) {
+    if (!delivery.isDeliverable()) {
+      // The lease may just have expired, before the group has noticed and ceased to serve.
+      delivery.giveBack();
       return;
     }
     if (configuration == null || configuration.revision() < message.revision()) {
@@ -175,27 +186,38 @@
       return;
     }
     String service = route.serviceFor((long) (random.nextDouble() * route.totalWeight()));
-    queue(service)
-        .add(
-            new PendingDelivery(
-                delivery.partition(), message, route.priority(), delivery.readyAtMicros()));
+    queue(service).add(delivery.withPriority(route.priority()));
   }
 
   @Override
   public void stop(MessagePartition partition, Runnable quiet) {
-    queues.values().forEach(queue -> remove(queue.iterator(), partition));
-    remove(awaitingConfiguration.iterator(), partition);
+    queues.values().forEach(queue -> giveBack(queue.waiting(), partition));
+    giveBack(awaitingConfiguration, partition);
+    giveBack(awaitingRoute, partition);
     active.whenQuiet(partition, quiet);
   }
 
-  private static void remove(Iterator<PendingDelivery> waiting, MessagePartition partition) {
-    while (waiting.hasNext()) {
-      PendingDelivery delivery = waiting.next();
-      if (delivery.partition() == partition) {
-        waiting.remove();
-        partition.later(delivery.message(), 0);
-      }
-    }
+  private static void giveBack(Collection<PendingDelivery> waiting, MessagePartition partition) {
+    List<PendingDelivery> returned =
+        waiting.stream().filter(delivery -> delivery.partition() == partition).toList();
+    waiting.removeIf(delivery -> delivery.partition() == partition);
+    returned.forEach(PendingDelivery::giveBack);
+  }
+
+  @Override
+  public Map<MessagePartition, Integer> countByPartition() {
+    Map<MessagePartition, Integer> counts = active.countByPartition();
+    queues.values().forEach(queue -> count(queue.waiting(), counts));
+    count(awaitingConfiguration, counts);
+    count(awaitingRoute, counts);
+    return counts;
+  }
+
+  private static void count(
+      Collection<PendingDelivery> waiting, Map<MessagePartition, Integer> counts) {
+    waiting.stream()
+        .filter(PendingDelivery::isCurrent)
+        .forEach(delivery -> counts.merge(delivery.partition(), 1, Integer::sum));
   }
 
   /** Returns the number of deliveries in progress. */
--- a/src/main/java/org/otterpond/messaging/MessagePartition.java
+++ b/src/main/java/org/otterpond/messaging/MessagePartition.java
@@ -29,11 +29,9 @@
 
   private final ReplicaGroupRuntime runtime;
   private final Resources resources;
-  private final BooleanSupplier leaseValid;
   private final MessageIndex index = new MessageIndex();
   private final OrderedMessages ordered = new OrderedMessages();
-  private final DelayedMessages delayed;
-  private boolean serving;
+  private final DeliveryStages delivery;
 
   /**
    * What the partitions of one machine share.
@@ -52,8 +50,7 @@
   MessagePartition(ReplicaGroupRuntime runtime, Resources resources, BooleanSupplier leaseValid) {
     this.runtime = runtime;
     this.resources = resources;
-    this.leaseValid = leaseValid;
-    this.delayed = new DelayedMessages(runtime, this::offer);
+    this.delivery = new DeliveryStages(this, runtime, resources.delivery(), leaseValid);
   }
 
   /** Returns the message with an id, or null. */
@@ -66,6 +63,16 @@
     return index;
   }
 
+  /** Returns the queued messages with an ordering key, to be read only. */
+  OrderedMessages orderedMessages() {
+    return ordered;
+  }
+
+  /** Returns the stages of the delivery. */
+  DeliveryStages delivery() {
+    return delivery;
+  }
+
   // Entries that the group has committed.
 
   @Override
@@ -92,9 +99,9 @@
     }
     Message message = Message.accepted(entry, serial, position, runtime.now());
     add(message);
-    if (serving) {
+    if (delivery.isActive()) {
       resources.cache().put(message, entry.content());
-      offer(message);
+      delivery.offer(message);
     }
   }
 
@@ -124,7 +131,7 @@
     message.serverSeal = entry.serverSeal();
     message.endedAtMicros = runtime.now();
     index.ended(message);
-    delayed.remove(message);
+    delivery.ended(message);
     if (message.state == MessageState.COMPLETED) {
       resources.cache().remove(message);
     }
@@ -135,37 +142,21 @@
 
   private void offerNext(Message ended) {
     Message next = ordered.removeAndPeek(ended);
-    if (next != null && serving) {
-      offer(next);
+    if (next != null) {
+      delivery.offer(next);
     }
   }
 
   // Delivery.
 
-  /** Offers a message for delivery if it is due and the first of its ordering key. */
-  private void offer(Message message) {
-    if (!serving
-        || !message.queued()
-        || message.offered
-        || message.ending
-        || (message.ordered() && !ordered.isFirst(message))) {
-      return;
-    }
-    if (message.dueAtMicros > runtime.now()) {
-      delayed.add(message);
-      return;
-    }
-    message.offered = true;
-    resources.delivery().ready(this, message);
+  /** Notes that the listener has begun an attempt to deliver a message. */
+  public void deliveryBegan(Message message) {
+    delivery.began(message);
   }
 
   /** Takes a message back from the delivery; it is offered again after a pause. */
   public void later(Message message, long pauseMicros) {
-    message.offered = false;
-    if (serving && message.queued()) {
-      message.dueAtMicros = Math.max(message.dueAtMicros, runtime.now() + pauseMicros);
-      offer(message);
-    }
+    delivery.later(message, pauseMicros);
   }
 
   /**
@@ -173,21 +164,12 @@
    * may just have expired.
    */
   public boolean serving() {
-    return serving && leaseValid.getAsBoolean();
+    return delivery.isServing();
   }
 
   @Override
   public void serving(boolean nowServing) {
-    if (serving == nowServing) {
-      return;
-    }
-    serving = nowServing;
-    if (nowServing) {
-      new ArrayList<>(index.all()).forEach(this::offer);
-    } else {
-      resources.delivery().stop(this, () -> {});
-      delayed.clear();
-    }
+    delivery.setActive(nowServing);
   }
 
   /** Reads the content of a message from memory or from the disk; null if it cannot be read. */
@@ -226,18 +208,7 @@
     index
         .removeEndedBefore(nowMicros - resources.endedRetentionMicros())
         .forEach(resources.cache()::remove);
-    List<Message> expired = new ArrayList<>();
-    if (serving) {
-      for (Message message : index.all()) {
-        if (message.queued()
-            && nowMicros > message.retainUntilMicros
-            && !message.ending
-            && !message.offered) {
-          expired.add(message);
-        }
-      }
-    }
-    return expired;
+    return delivery.expired(nowMicros);
   }
 
   // Snapshots.
@@ -247,7 +218,7 @@
     index.all().forEach(resources.cache()::remove);
     index.clear();
     ordered.clear();
-    delayed.clear();
+    delivery.clear();
   }
 
   @Override
--- a/src/main/java/org/otterpond/messaging/MessageStore.java
+++ b/src/main/java/org/otterpond/messaging/MessageStore.java
@@ -33,6 +33,7 @@
   private static final String GROUP_KIND_PREFIX = "g.";
   private static final long EXPIRY_INTERVAL_MICROS = 500_000;
   private static final long CLEANING_INTERVAL_MICROS = 5_000_000;
+  private static final long STRANDED_CHECK_INTERVAL_MICROS = 2_000_000;
   private static final int TICKS_PER_BEACON = 3;
   private static final int MICROS_PER_MILLI = 1_000;
 
@@ -46,11 +47,13 @@
   private final GroupBeacons beacons = new GroupBeacons(host, partitions::get);
   private final MessageRequests requests;
   private final SegmentCleaner cleaner;
+  private final StrandedMessageMonitor strandedMessages;
   private final Map<String, PeerMessageHandler> handlers = handlers();
   private ControlPlaneAgent agent;
   private long beaconAtMicros;
   private long expiryAtMicros;
   private long cleaningAtMicros;
+  private long strandedCheckAtMicros;
 
   /** Handles the messages of one kind. */
   @FunctionalInterface
@@ -83,6 +86,7 @@
             settings.endedRetentionMicros());
     this.requests = new MessageRequests(partitions::get, storage);
     this.cleaner = new SegmentCleaner(runtime, storage, settings.segmentRetentionMicros());
+    this.strandedMessages = new StrandedMessageMonitor(runtime, delivery);
   }
 
   private final class ReplicaHost implements PartitionReplica.Host {
@@ -178,6 +182,10 @@
       cleaningAtMicros = now;
       cleaner.clean(partitions.values());
     }
+    if (now - strandedCheckAtMicros > STRANDED_CHECK_INTERVAL_MICROS) {
+      strandedCheckAtMicros = now;
+      strandedMessages.check(partitions.values());
+    }
     runtime.after(beaconMicros / TICKS_PER_BEACON, this::tick);
   }
 
@@ -258,15 +266,14 @@
   public void ended(
       MessagePartition messages, Message message, MessageState state, String serverSeal) {
     PartitionReplica partition = replicaOf(messages);
-    if (partition == null
-        || messages.get(message.id()) != message
-        || message.ending
-        || !message.queued()) {
+    if (partition == null || !messages.delivery().beginEnd(message)) {
       return;
     }
-    message.ending = true;
     EndedMessage entry = new EndedMessage(message.keys(), state, serverSeal, message.destination());
-    partition.group().update(entry.toWireRecord(), false, () -> {}, () -> message.ending = false);
+    partition
+        .group()
+        .update(
+            entry.toWireRecord(), false, () -> {}, () -> messages.delivery().endFailed(message));
   }
 
   /** Counts a failed attempt, on all replicas. */
@@ -310,7 +317,8 @@
 
   /**
    * Returns what this machine reports of itself, by field name: partitions led and held, messages
-   * queued and dead in those that it serves, and how long the oldest has waited, in milliseconds.
+   * queued and dead in those that it serves, how many of the queued ones nothing will move on (0
+   * unless the program is at fault), and how long the oldest has waited, in milliseconds.
    */
   public Map<String, Long> figures() {
     long now = runtime.now();
@@ -332,6 +340,7 @@
     figures.put("held", (long) partitions.size());
     figures.put("queued", queued);
     figures.put("dead", dead);
+    figures.put("stranded", strandedMessages.stranded());
     figures.put("oldest_ms", oldestMicros / MICROS_PER_MILLI);
     return figures;
   }
--- a/src/main/java/org/otterpond/replication/PrimaryRole.java
+++ b/src/main/java/org/otterpond/replication/PrimaryRole.java
@@ -123,6 +123,12 @@
     return updates.size();
   }
 
+  /** Returns whether all updates that were submitted have been committed. */
+  boolean isIdle() {
+    PreparedList preparedList = replica.preparedList();
+    return updates.isEmpty() && preparedList.committedPoint() >= preparedList.lastSerial();
+  }
+
   private void admitUpdates() {
     if (updates.isEmpty() || !canAdmit()) {
       return;
--- a/src/main/java/org/otterpond/replication/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replication/ReplicaGroup.java
@@ -177,6 +177,11 @@
     return role instanceof PrimaryRole primary ? primary.queuedUpdates() : 0;
   }
 
+  /** Returns whether all updates that were submitted to this primary have been committed. */
+  public boolean isIdle() {
+    return !(role instanceof PrimaryRole primary) || primary.isIdle();
+  }
+
   /** Hands the primary's role over to a secondary, after the work in flight has ended. */
   public void handOver() {
     if (role instanceof PrimaryRole primary) {
--- a/src/main/java/org/otterpond/server/StatusJson.java
+++ b/src/main/java/org/otterpond/server/StatusJson.java
@@ -17,6 +17,10 @@
 final class StatusJson {
   private static final List<String> MESSAGE_STORE_FIGURES =
       List.of("led", "held", "queued", "dead", "oldest_ms", "in_flight");
+
+  /** A figure that nodes of earlier versions do not report. */
+  private static final String STRANDED = "stranded";
+
   private static final List<String> KEY_RANGE_FIELDS =
       List.of("service", "ranges", "owners", "held", "granting", "releasing", "expiring", "fence");
   private static final WireRecord NO_FIGURES = new WireRecord("figures");
@@ -78,6 +82,9 @@
     JsonObject json = identity(node);
     WireRecord figures = node.messageStoreFigures();
     addFields(json, figures == null ? NO_FIGURES : figures, MESSAGE_STORE_FIGURES);
+    if (figures != null && figures.has(STRANDED)) {
+      json.addProperty(STRANDED, figures.number(STRANDED));
+    }
     json.addProperty("silent_ms", node.silentMillis());
     return json;
   }
--- a/src/main/java/org/otterpond/simulation/MessageInvariantChecker.java
+++ b/src/main/java/org/otterpond/simulation/MessageInvariantChecker.java
@@ -169,6 +169,15 @@
     message.ended |= message.failures >= maxAttempts;
   }
 
+  /** Checks that every accepted message has ended, long after the last fault and the last send. */
+  void checkAllEnded() {
+    for (SentMessage message : accepted.values()) {
+      if (!message.ended) {
+        addViolation("STUCK " + message.id + " has not ended");
+      }
+    }
+  }
+
   /** Checks the final state of an accepted message, or null if the store does not know it. */
   void stateQueried(SentMessage message, String state, String result) {
     if (state == null) {
--- a/src/main/java/org/otterpond/simulation/SimulatedDelivery.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedDelivery.java
@@ -1,9 +1,9 @@
 package org.otterpond.simulation;
 
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.otterpond.messaging.DeliveryListener;
 import org.otterpond.messaging.Message;
@@ -57,7 +57,7 @@
 
   private final Map<MessagePartition, Integer> inFlight = new HashMap<>();
   private final Map<MessagePartition, Runnable> stopping = new HashMap<>();
-  private final Set<Message> ready = new HashSet<>();
+  private final Map<Message, MessagePartition> ready = new LinkedHashMap<>();
 
   /**
    * Creates a delivery.
@@ -73,13 +73,13 @@
 
   @Override
   public void ready(MessagePartition partition, Message message) {
-    ready.add(message);
+    ready.put(message, partition);
     world.schedule(
         MIN_PICKUP_MICROS + world.random.nextInt(PICKUP_SPREAD_MICROS),
         () ->
             ownerThread.accept(
                 () -> {
-                  if (ready.remove(message)) {
+                  if (ready.remove(message, partition)) {
                     deliver(partition, message);
                   }
                 }));
@@ -91,6 +91,7 @@
       return;
     }
     inFlight.merge(partition, 1, Integer::sum);
+    partition.deliveryBegan(message);
     partition.whole(
         message,
         body -> {
@@ -171,10 +172,21 @@
 
   @Override
   public void stop(MessagePartition partition, Runnable stopped) {
+    List<Message> waiting =
+        ready.keySet().stream().filter(message -> ready.get(message) == partition).toList();
+    ready.keySet().removeAll(waiting);
+    waiting.forEach(message -> partition.later(message, 0));
     if (inFlight.containsKey(partition)) {
       stopping.put(partition, stopped);
     } else {
       stopped.run();
     }
   }
+
+  @Override
+  public Map<MessagePartition, Integer> countByPartition() {
+    Map<MessagePartition, Integer> counts = new HashMap<>(inFlight);
+    ready.values().forEach(partition -> counts.merge(partition, 1, Integer::sum));
+    return counts;
+  }
 }
--- a/src/main/java/org/otterpond/soak/NodeInspection.java
+++ b/src/main/java/org/otterpond/soak/NodeInspection.java
@@ -12,7 +12,9 @@
 /** What the nodes say of themselves once nothing disturbs them any more. */
 final class NodeInspection {
   private static final Pattern FAULTS =
-      Pattern.compile("event=(abandoned_work|task_failed|loop_failed|out_of_memory|work_failed)");
+      Pattern.compile(
+          "event=(abandoned_work|messages_stranded|task_failed|loop_failed|out_of_memory"
+              + "|work_failed)");
   private static final String VIOLATIONS = "otterpond_departures_violations_total";
   private static final String OPEN_REQUESTS = "otterpond_requests_open";
   private static final int ATTEMPTS = 20;
--- a/src/test/java/org/otterpond/messaging/MessageStoreFixtureTest.java
+++ b/src/test/java/org/otterpond/messaging/MessageStoreFixtureTest.java
@@ -17,15 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.otterpond.config.GatewayConfiguration;
-import org.otterpond.control.agent.ControlPlaneAgent;
-import org.otterpond.control.agent.NodeIdentity;
 import org.otterpond.control.epoch.ManualRuntime;
-import org.otterpond.control.primary.ControlPlaneSettings;
-import org.otterpond.control.primary.DataPlane;
-import org.otterpond.control.primary.QuotaSettings;
-import org.otterpond.control.state.FaultTolerance;
-import org.otterpond.control.state.WorkerInstance;
 import org.otterpond.protocol.Fixtures;
 import org.otterpond.protocol.RecordText;
 import org.otterpond.protocol.WireRecord;
@@ -81,47 +73,12 @@
             new MessageStoreSettings(
                 STATUS_MICROS, KEY_WINDOW_MICROS, 0, ReplicaGroupTimeouts.standard()),
             new OfferCollector());
-    store.fit(agentWithoutCore());
+    store.fit(AgentWithoutCore.create(runtime, ADDRESS, DISK));
     log.open(store::replay);
     assertTrue(log.sound());
     store.start();
   }
 
-  /** The control plane of a node that finds no core: no proposal of the store is answered. */
-  private ControlPlaneAgent agentWithoutCore() {
-    NodeIdentity self =
-        new NodeIdentity(ADDRESS, "store", "z", null, false, false, List.of(), 1, DISK);
-    ControlPlaneSettings settings =
-        new ControlPlaneSettings(
-            1_500_000,
-            KEY_WINDOW_MICROS,
-            FaultTolerance.ofMachines(0),
-            new QuotaSettings(5_000_000, 0.1, 20, 2_000_000));
-    return new ControlPlaneAgent(runtime, self, new NoDataPlane(), settings);
-  }
-
-  private static final class NoDataPlane implements DataPlane {
-    @Override
-    public void configured(GatewayConfiguration configuration) {
-      // Nothing is routed here.
-    }
-
-    @Override
-    public void worker(WorkerInstance worker) {
-      // Nothing is routed here.
-    }
-
-    @Override
-    public void fleet(Map<String, Integer> nodesInZone, int rank) {
-      // Nothing is routed here.
-    }
-
-    @Override
-    public WireRecord outcome(String key, String token) {
-      return null;
-    }
-  }
-
   private final class OfferCollector implements DeliveryListener {
     @Override
     public void ready(MessagePartition partition, Message message) {
@@ -133,6 +90,11 @@
     public void stop(MessagePartition partition, Runnable quiet) {
       quiet.run();
     }
+
+    @Override
+    public Map<MessagePartition, Integer> countByPartition() {
+      return Map.of();
+    }
   }
 
   /** Makes the store the only member of each group, so that it serves all of them. */
--- a/src/test/java/org/otterpond/simulation/MessageFaultsTest.java
+++ b/src/test/java/org/otterpond/simulation/MessageFaultsTest.java
@@ -51,6 +51,24 @@
     messages.assertFullyReplicated();
   }
 
+  /** Pauses about as long as the lease of a primary, in series: it ends and is renewed at once. */
+  @ParameterizedTest
+  @ValueSource(longs = {31, 32, 33, 34})
+  void nothingIsStrandedWhenAStoreIsPausedShortlyAndOften(long seed) {
+    MessageFixture messages = new MessageFixture(seed, 5, 2);
+    SimulatedWorld world = messages.world;
+
+    for (int i = 0; i < 12; i++) {
+      List<SimulatedNode> nodes = messages.cluster.storageNodes;
+      nodes.get(world.random.nextInt(2)).freeze();
+      world.run(300_000 + world.random.nextInt(400_000));
+      ClusterFixture.resumeAndStart(nodes);
+      world.run(world.random.nextInt(1_200_000));
+    }
+
+    messages.assertNothingLost();
+  }
+
   private static void injectRandomFault(SimulatedCluster cluster, SimulatedNode node) {
     Random random = cluster.world.random;
     switch (random.nextInt(5)) {
--- a/src/test/java/org/otterpond/simulation/MessageFixture.java
+++ b/src/test/java/org/otterpond/simulation/MessageFixture.java
@@ -37,16 +37,23 @@
         checker.accepted.isEmpty(), () -> "no message is accepted\n" + cluster.recentEvents());
   }
 
-  /** Ends all faults and asserts that every accepted message has ended or is still stored. */
+  /**
+   * Ends all faults and asserts that every accepted message has ended and its end is stored, and
+   * that no node found one that nothing would move on.
+   */
   void assertNothingLost() {
     ClusterFixture.healNetwork(cluster);
     ClusterFixture.resumeAndStart(cluster.nodes);
     world.run(5 * SECOND_MICROS);
     producers.stop();
     world.run(8 * SECOND_MICROS);
+    checker.checkAllEnded();
     producers.queryAll();
     world.run(6 * SECOND_MICROS);
     assertEquals(List.of(), checker.violations, this::describeUnservedPartitions);
+    for (SimulatedNode node : cluster.storageNodes) {
+      assertEquals(0, node.messageStore.figures().get("stranded"), node.address);
+    }
   }
 
   /** What the storage nodes know of the partitions that none of them serves. */
