The submitter of an update learns that its outcome is open when the primary's role ends

A repeat of an operation key waits in vain and gets 502, and a message whose end was being replicated stays queued for ever, on a replica that was primary, lost the role and got it again.

Cause: UpdateQueue.rejectAll dropped the callbacks of prepared entries. So the pending write kept its key, and the message its stage, for as long as the process lived.

Change: an update has a listener with three outcomes; a prepared one whose role ends is undecided. A pending write then frees its key and answers nobody, as a rejection would promise that nothing is stored; a message is offered again.

--- a/src/main/java/org/otterpond/messaging/MessageStore.java
+++ b/src/main/java/org/otterpond/messaging/MessageStore.java
@@ -20,6 +20,7 @@
 import org.otterpond.protocol.WireRecord;
 import org.otterpond.replication.GroupConfiguration;
 import org.otterpond.replication.ReplicaGroupTimeouts;
+import org.otterpond.replication.UpdateListener;
 import org.otterpond.runtime.NodeRuntime;
 import org.otterpond.storage.SegmentStore;
 
@@ -270,10 +271,25 @@
       return;
     }
     EndedMessage entry = new EndedMessage(message.keys(), state, serverSeal, message.destination());
-    partition
-        .group()
-        .update(
-            entry.toWireRecord(), false, () -> {}, () -> messages.delivery().endFailed(message));
+    partition.group().update(entry.toWireRecord(), false, new EndListener(messages, message));
+  }
+
+  /** An end that was not committed leaves the message queued, to be offered again. */
+  private record EndListener(MessagePartition messages, Message message) implements UpdateListener {
+    @Override
+    public void committed() {
+      // The entry has been applied.
+    }
+
+    @Override
+    public void rejected() {
+      messages.delivery().endFailed(message);
+    }
+
+    @Override
+    public void undecided() {
+      messages.delivery().endFailed(message);
+    }
   }
 
   /** Counts a failed attempt, on all replicas. */
@@ -282,7 +298,7 @@
     message.attempts++;
     if (partition != null && messages.get(message.id()) == message) {
       FailedAttempt entry = new FailedAttempt(message.id(), message.attempts);
-      partition.group().update(entry.toWireRecord(), false, () -> {}, () -> {});
+      partition.group().update(entry.toWireRecord(), false, UpdateListener.NONE);
     }
   }
 
--- a/src/main/java/org/otterpond/messaging/PendingWrites.java
+++ b/src/main/java/org/otterpond/messaging/PendingWrites.java
@@ -12,6 +12,7 @@
 import org.otterpond.messaging.message.MessageStoreReply.Rejected;
 import org.otterpond.protocol.WireRecord;
 import org.otterpond.replication.ReplicaGroup;
+import org.otterpond.replication.UpdateListener;
 
 /**
  * The messages of one partition that are being replicated. A repeat of one of them, or of its
@@ -65,14 +66,47 @@
     if (operation != null) {
       idByOperation.put(operation, id);
     }
-    Consumer<Boolean> done =
-        committed -> {
-          waitersById.remove(id, waiters);
-          if (operation != null) {
-            idByOperation.remove(operation, id);
-          }
-          waiters.forEach(each -> each.accept(committed));
-        };
-    group.update(entry, true, () -> done.accept(true), () -> done.accept(false));
+    group.update(entry, true, new WriteListener(id, operation, waiters));
+  }
+
+  /** Ends a pending write and answers all that wait for it, as far as its outcome is known. */
+  private final class WriteListener implements UpdateListener {
+    private final String id;
+    private final String operation;
+    private final List<Consumer<Boolean>> waiters;
+
+    WriteListener(String id, String operation, List<Consumer<Boolean>> waiters) {
+      this.id = id;
+      this.operation = operation;
+      this.waiters = waiters;
+    }
+
+    @Override
+    public void committed() {
+      remove();
+      waiters.forEach(waiter -> waiter.accept(true));
+    }
+
+    @Override
+    public void rejected() {
+      remove();
+      waiters.forEach(waiter -> waiter.accept(false));
+    }
+
+    /**
+     * Answers nobody, as a rejection would promise that the message is not stored: the nodes that
+     * wait ask the next primary when their time is over.
+     */
+    @Override
+    public void undecided() {
+      remove();
+    }
+
+    private void remove() {
+      waitersById.remove(id, waiters);
+      if (operation != null) {
+        idByOperation.remove(operation, id);
+      }
+    }
   }
 }
--- a/src/main/java/org/otterpond/replication/PrimaryRole.java
+++ b/src/main/java/org/otterpond/replication/PrimaryRole.java
@@ -97,7 +97,7 @@
   public void end() {
     status.onNewVersion(0);
     followers.clear();
-    updates.rejectAll();
+    updates.endAll();
   }
 
   @Override
--- a/src/main/java/org/otterpond/replication/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replication/ReplicaGroup.java
@@ -160,15 +160,14 @@
    * prepared it. While the group cannot serve it waits, as long as this node is named primary.
    *
    * @param needsCopies whether it must wait until there are as many replicas as wanted
-   * @param committed run once it is committed
-   * @param refused run if it was not prepared and will not be
+   * @param listener gets the outcome
    */
-  public void update(WireRecord entry, boolean needsCopies, Runnable committed, Runnable refused) {
+  public void update(WireRecord entry, boolean needsCopies, UpdateListener listener) {
     // While a primary's role ends, its rejected updates may be submitted again.
     if (role instanceof PrimaryRole primary && replica.isPrimary()) {
-      primary.update(new UpdateQueue.Update(entry, needsCopies, committed, refused));
+      primary.update(new UpdateQueue.Update(entry, needsCopies, listener));
     } else {
-      refused.run();
+      listener.rejected();
     }
   }
 
--- a/src/main/java/org/otterpond/replication/UpdateQueue.java
+++ b/src/main/java/org/otterpond/replication/UpdateQueue.java
@@ -2,26 +2,23 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.TreeMap;
 import org.otterpond.protocol.WireRecord;
 
-/** Updates that wait for the group to serve, and callbacks of those that wait for their commit. */
+/** Updates that wait for the group to serve, and listeners of those that wait for their commit. */
 final class UpdateQueue {
   private final LocalReplica replica;
   private final ArrayDeque<Update> queued = new ArrayDeque<>();
-  private final Map<Long, Runnable> uncommitted = new HashMap<>();
+  private final TreeMap<Long, UpdateListener> uncommitted = new TreeMap<>();
 
   /**
    * An update of the state.
    *
    * @param needsAllReplicas whether it must wait until the group has as many replicas as wanted
-   * @param onCommitted run once it is committed
-   * @param onRejected run if it was not prepared and will not be
+   * @param listener gets its outcome
    */
-  record Update(
-      WireRecord entry, boolean needsAllReplicas, Runnable onCommitted, Runnable onRejected) {}
+  record Update(WireRecord entry, boolean needsAllReplicas, UpdateListener listener) {}
 
   UpdateQueue(LocalReplica replica) {
     this.replica = replica;
@@ -56,25 +53,27 @@
       }
       long version = replica.configuration().version();
       preparedList.insert(update.entry(), version, onDurable, replica::onWriteFailed);
-      uncommitted.put(preparedList.lastSerial(), update.onCommitted());
+      uncommitted.put(preparedList.lastSerial(), update.listener());
     }
   }
 
   /** Runs the callbacks of the entries after a serial number that are committed now. */
   void onCommitted(long afterSerial) {
     for (long s = afterSerial + 1; s <= replica.preparedList().committedPoint(); s++) {
-      Runnable onCommitted = uncommitted.remove(s);
-      if (onCommitted != null) {
-        onCommitted.run();
+      UpdateListener listener = uncommitted.remove(s);
+      if (listener != null) {
+        listener.committed();
       }
     }
   }
 
-  /** Rejects the queued updates. What is prepared may still be committed by the next primary. */
-  void rejectAll() {
+  /** Ends all updates: the queued ones are rejected, the outcome of the prepared ones is open. */
+  void endAll() {
+    List<UpdateListener> prepared = new ArrayList<>(uncommitted.values());
     uncommitted.clear();
     List<Update> rejected = new ArrayList<>(queued);
     queued.clear();
-    rejected.forEach(update -> update.onRejected().run());
+    prepared.forEach(UpdateListener::undecided);
+    rejected.forEach(update -> update.listener().rejected());
   }
 }
--- a/src/main/java/org/otterpond/simulation/SimulatedReplicaGroup.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedReplicaGroup.java
@@ -18,6 +18,7 @@
 import org.otterpond.replication.ReplicaGroupRuntime;
 import org.otterpond.replication.ReplicaGroupTimeouts;
 import org.otterpond.replication.StateMachine;
+import org.otterpond.replication.UpdateListener;
 
 /**
  * One replica group with its configuration manager and a checker that sees every entry applied and
@@ -338,18 +339,37 @@
         m.perform(
             () ->
                 m.group.update(
-                    new WireRecord("set").with("value", value),
-                    false,
-                    () -> {
-                      updates++;
-                      acknowledged.add(value);
-                      newestAcknowledged = Math.max(newestAcknowledged, value);
-                    },
-                    () -> {}));
+                    new WireRecord("set").with("value", value), false, new WriteListener(value)));
       }
     }
   }
 
+  /** Notes an update that was acknowledged. */
+  private final class WriteListener implements UpdateListener {
+    private final long value;
+
+    WriteListener(long value) {
+      this.value = value;
+    }
+
+    @Override
+    public void committed() {
+      updates++;
+      acknowledged.add(value);
+      newestAcknowledged = Math.max(newestAcknowledged, value);
+    }
+
+    @Override
+    public void rejected() {
+      // The writer does not try again.
+    }
+
+    @Override
+    public void undecided() {
+      // Later queries may see it or not.
+    }
+  }
+
   /** A query must see everything that was acknowledged before it was asked. */
   private void reader() {
     world.schedule(1_000 + world.random.nextInt(4_000), this::reader);
--- a/src/test/java/org/otterpond/replication/RestartAfterCleaningTest.java
+++ b/src/test/java/org/otterpond/replication/RestartAfterCleaningTest.java
@@ -156,7 +156,7 @@
   @Test
   void givenOnlyMemberWithRefusedWrite_whenSegmentBegins_thenItHasHeader() {
     replica.learn(new GroupConfiguration(GROUP, 1, ME, List.of(), List.of(ME)));
-    replica.update(RecordingStateMachine.entry("e1"), false, () -> {}, () -> {});
+    replica.update(RecordingStateMachine.entry("e1"), false, UpdateListener.NONE);
 
     runtime.answerWrites(false);
 
