A node that ends takes only requests that it can finish

Cause: the shutdown admitted every request until 0.8 s before its end, however long it may last, and broke off what was left.

Change: after 2.8 s a request is passed on only if its deadline or its route's timeout ends before the node does; others get 503 at once, unexecuted (ShutdownTimes). Nothing is broken off before the last sixth of a short grace_s either. Waiting requests that might outlast the node are rejected while another can serve them; queries of messages get an answer at the end; the listener is closed before the process ends. Gateway and storage nodes share one GracefulShutdown.

--- a/src/main/java/org/otterpond/messaging/MessageIngestHandler.java
+++ b/src/main/java/org/otterpond/messaging/MessageIngestHandler.java
@@ -60,12 +60,13 @@
 
   @Override
   public int inFlight() {
-    return submitter.inFlight();
+    return submitter.inFlight() + queries.inFlight();
   }
 
   @Override
   public void endAll() {
     submitter.endAll();
+    queries.endAll();
   }
 
   @Override
--- a/src/main/java/org/otterpond/messaging/MessageQueryHandler.java
+++ b/src/main/java/org/otterpond/messaging/MessageQueryHandler.java
@@ -1,7 +1,10 @@
 package org.otterpond.messaging;
 
 import com.google.gson.JsonObject;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.Locale;
+import java.util.Set;
 import org.otterpond.config.Tenant;
 import org.otterpond.control.agent.ControlPlaneAgent;
 import org.otterpond.messaging.message.MessageBodyRequest;
@@ -32,6 +35,9 @@
   private final ControlPlaneAgent agent;
   private final PartitionDirectory partitions;
 
+  /** The queries that wait for a store. */
+  private final Set<ServerExchange> open = new LinkedHashSet<>();
+
   MessageQueryHandler(EventLoop eventLoop, ControlPlaneAgent agent, PartitionDirectory partitions) {
     this.eventLoop = eventLoop;
     this.agent = agent;
@@ -56,7 +62,8 @@
       exchange.answer(GatewayResponses.problem(404, "no such message"));
       return;
     }
-    exchange.onClientGone(exchange::abandon);
+    open.add(exchange);
+    exchange.onClientGone(() -> clientGone(exchange));
     String tenantName = tenant == null ? null : tenant.name();
     MessageStoreRequest query =
         bodyWanted
@@ -65,6 +72,28 @@
     send(exchange, query, exchange.receivedAtMicros() + QUERY_MICROS);
   }
 
+  private void clientGone(ServerExchange exchange) {
+    open.remove(exchange);
+    exchange.abandon();
+  }
+
+  private void answer(ServerExchange exchange, HttpMessage response) {
+    open.remove(exchange);
+    exchange.answer(response);
+  }
+
+  /** Answers all queries that still wait for a store, as the node ends. */
+  void endAll() {
+    for (ServerExchange exchange : new ArrayList<>(open)) {
+      answer(exchange, GatewayResponses.unavailable("the node is shutting down", 0.2));
+    }
+  }
+
+  /** Returns the number of queries that wait for a store. */
+  int inFlight() {
+    return open.size();
+  }
+
   /** The id of a message begins with the number of its partition and a dot. */
   private static int partitionOf(String id) {
     try {
@@ -80,7 +109,7 @@
     }
     long now = EventLoop.now();
     if (now > deadlineMicros - RETRY_MICROS) {
-      exchange.answer(GatewayResponses.unavailable("the partition has no primary now", 0.2));
+      answer(exchange, GatewayResponses.unavailable("the partition has no primary now", 0.2));
       return;
     }
     String primary = partitions.primaryAddress(query.group());
@@ -93,7 +122,7 @@
           if (response == null) {
             eventLoop.after(RETRY_MICROS, () -> send(exchange, query, deadlineMicros));
           } else {
-            exchange.answer(response);
+            answer(exchange, response);
           }
         });
   }
--- a/src/main/java/org/otterpond/net/ClientConnection.java
+++ b/src/main/java/org/otterpond/net/ClientConnection.java
@@ -275,6 +275,11 @@
     }
   }
 
+  /** Reads and handles what has arrived. */
+  void readPending() {
+    socket.readPending();
+  }
+
   /** Looks whether the client has left, unless the input was read a moment ago. */
   void checkClient() {
     if (EventLoop.now() - lastReadMicros >= CLIENT_CHECK_INTERVAL_MICROS) {
--- a/src/main/java/org/otterpond/net/HttpListener.java
+++ b/src/main/java/org/otterpond/net/HttpListener.java
@@ -61,6 +61,10 @@
 
   @Override
   public void ready(SelectionKey selected) {
+    acceptWaiting();
+  }
+
+  private void acceptWaiting() {
     try {
       for (int i = 0; i < MAX_ACCEPTS_PER_ROUND; i++) {
         SocketChannel channel = server.accept();
@@ -75,7 +79,13 @@
     } catch (IOException e) {
       LOG.warn("event=accept_failed cause=\"{}\"", e.getMessage());
       key.interestOps(0);
-      eventLoop.after(ACCEPT_PAUSE_MICROS, () -> key.interestOps(SelectionKey.OP_ACCEPT));
+      eventLoop.after(ACCEPT_PAUSE_MICROS, this::resumeAccepting);
+    }
+  }
+
+  private void resumeAccepting() {
+    if (key.isValid()) {
+      key.interestOps(SelectionKey.OP_ACCEPT);
     }
   }
 
@@ -110,6 +120,23 @@
     return false;
   }
 
+  /** Accepts what waits and nothing more: further connections are refused at once. */
+  public void stopAccepting() {
+    acceptWaiting();
+    try {
+      server.close();
+    } catch (IOException e) {
+      LOG.warn("event=close_failed cause=\"{}\"", e.getMessage());
+    }
+  }
+
+  /** Reads and handles what has arrived on the connections. */
+  public void readPending() {
+    for (ClientConnection connection : new ArrayList<>(connections)) {
+      connection.readPending();
+    }
+  }
+
   /** Closes the connections that are between two requests. */
   public void closeIdle() {
     for (ClientConnection connection : new ArrayList<>(connections)) {
--- a/src/main/java/org/otterpond/proxy/ProxyHandler.java
+++ b/src/main/java/org/otterpond/proxy/ProxyHandler.java
@@ -62,8 +62,11 @@
   private final IdempotencyKeyLocking keyLocking;
   private MessageRequestHandler messages;
   private GatewayConfiguration configuration;
-  private boolean draining;
-  private boolean closed;
+
+  /** The times of the graceful shutdown; null before it begins. */
+  private ShutdownTimes shutdown;
+
+  private boolean ended;
 
   /**
    * Creates the data path of a node.
@@ -114,27 +117,31 @@
 
   /** Returns whether requests are served: a configuration is there and the node is not draining. */
   public boolean ready() {
-    return configuration != null && !draining;
+    return configuration != null && shutdown == null;
   }
 
-  /** Begins the graceful shutdown: the node is no longer ready, but still serves requests. */
-  public void startDraining() {
-    draining = true;
+  /**
+   * Begins the graceful shutdown: the node is no longer ready, and takes only the requests that it
+   * can complete.
+   */
+  public void startDraining(ShutdownTimes times) {
+    shutdown = times;
   }
 
   @Override
   public boolean leaving() {
-    return draining;
+    return shutdown != null;
   }
 
-  /** Rejects new requests from now on: they could not be finished before the node ends. */
-  public void close() {
-    closed = true;
+  /** Rejects the requests that wait and could hardly be completed before the node ends. */
+  public void rejectWaitingForShutdown() {
+    awaitingConfiguration.removeAll().forEach(this::rejectForShutdown);
+    completion.rejectWaitingBeyond(shutdown);
   }
 
   /** Answers all requests that are still in flight, as the node ends. */
   public void endAll() {
-    closed = true;
+    ended = true;
     awaitingConfiguration.removeAll().forEach(this::rejectForShutdown);
     messages.endAll();
     completion.endAll();
@@ -231,10 +238,10 @@
 
   @Override
   public void handle(ServerExchange exchange) {
-    if (closed) {
+    if (ended) {
       rejectForShutdown(exchange);
     } else if (configuration == null) {
-      awaitingConfiguration.add(exchange);
+      awaitConfiguration(exchange);
     } else {
       metrics.requests.increment();
       if (messages.isMessageQuery(exchange.request().path())) {
@@ -245,7 +252,24 @@
     }
   }
 
+  private void awaitConfiguration(ServerExchange exchange) {
+    if (admitsUnbounded()) {
+      awaitingConfiguration.add(exchange);
+    } else {
+      rejectForShutdown(exchange);
+    }
+  }
+
+  /** Returns whether a request is taken whose duration its deadline does not bound. */
+  private boolean admitsUnbounded() {
+    return shutdown == null || shutdown.admits(EventLoop.now());
+  }
+
   private void handleMessageQuery(ServerExchange exchange) {
+    if (!admitsUnbounded()) {
+      rejectForShutdown(exchange);
+      return;
+    }
     Tenant tenant = null;
     if (configuration.closed()) {
       tenant = admission.authenticateMessageQuery(exchange, configuration);
@@ -274,7 +298,11 @@
     if (request.firstHeader(GatewayHeaders.ATTEMPT_ID) == null) {
       exchange.answer(GatewayResponses.problem(400, GatewayHeaders.ATTEMPT_ID + ": missing"));
     } else if (route.type() == RouteType.ASYNCHRONOUS) {
-      messages.submit(exchange, route, tenant, configuration);
+      if (admitsUnbounded()) {
+        messages.submit(exchange, route, tenant, configuration);
+      } else {
+        rejectForShutdown(exchange);
+      }
     } else {
       handleSynchronous(exchange, route, tenant);
     }
@@ -288,6 +316,11 @@
       exchange.answer(GatewayResponses.problem(400, e.getMessage()));
       return;
     }
+    long now = EventLoop.now();
+    if (shutdown != null && !shutdown.admits(now, request.timeLeftMicros(now))) {
+      rejectForShutdown(exchange);
+      return;
+    }
     request.accessKeyHidden = configuration.closed();
     begin(request);
   }
--- a/src/main/java/org/otterpond/proxy/RequestCompletion.java
+++ b/src/main/java/org/otterpond/proxy/RequestCompletion.java
@@ -21,6 +21,7 @@
 final class RequestCompletion {
   private static final double MIN_RETRY_AFTER_SECONDS = 0.15;
   private static final double RETRY_AFTER_SPREAD_SECONDS = 0.25;
+  private static final String SHUTTING_DOWN = "the node is shutting down";
 
   /**
    * How long a worker may go on with a request whose client has left. The operators allow half a
@@ -54,11 +55,25 @@
     return inFlight.size();
   }
 
+  /**
+   * Rejects the requests that no worker has been sent and whose time lasts beyond the end of the
+   * node: elsewhere they may still be served.
+   */
+  void rejectWaitingBeyond(ShutdownTimes shutdown) {
+    long now = EventLoop.now();
+    for (RequestContext request : new ArrayList<>(inFlight)) {
+      boolean waiting = request.openAttempts.isEmpty() && !request.mayHaveExecuted;
+      if (waiting && !shutdown.endsInTime(now, request.timeLeftMicros(now))) {
+        reject(request, SHUTTING_DOWN);
+      }
+    }
+  }
+
   /** Ends every request, as the node ends. */
   void endAll() {
     for (RequestContext request : new ArrayList<>(inFlight)) {
       if (request.openAttempts.isEmpty()) {
-        reject(request, "the node is shutting down");
+        reject(request, SHUTTING_DOWN);
       } else {
         failRequest(
             request, GatewayResponses.problem(502, "the node ended before the worker answered"));
--- a/src/main/java/org/otterpond/server/GatewayNode.java
+++ b/src/main/java/org/otterpond/server/GatewayNode.java
@@ -85,7 +85,8 @@
         disk == null ? "none" : disk.id(),
         disk != null && disk.blank(),
         settings.initialStart());
-    return new GatewayShutdown(eventLoop, settings, proxy, front, end);
+    return new GracefulShutdown(
+        eventLoop, settings, new GatewayShutdown(eventLoop, proxy, front), end);
   }
 
   private CoreDisk openDisk() throws StorageException {
--- a/src/main/java/org/otterpond/server/MessageStoreNode.java
+++ b/src/main/java/org/otterpond/server/MessageStoreNode.java
@@ -54,7 +54,8 @@
         settings.zone(),
         storeServer.diskId(),
         settings.initialStart());
-    return new MessageStoreShutdown(eventLoop, settings, storeServer.store(), dispatcher, end);
+    return new GracefulShutdown(
+        eventLoop, settings, new MessageStoreShutdown(storeServer.store(), dispatcher), end);
   }
 
   private NodeIdentity identity(String storeId) {
--- a/src/test/java/org/otterpond/server/GracefulShutdownTest.java
+++ b/src/test/java/org/otterpond/server/GracefulShutdownTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -78,6 +80,69 @@
     worker.close();
   }
 
+  /**
+   * Guards against requests that are taken late in a shutdown, passed on and broken off (review/3).
+   * Each of them lasts longer than the node has left from 3.9 s on; deadline and time-out are 5 s.
+   */
+  @Test
+  void requestThatArrivesLateIsCompletedOrRejectedUnexecuted(@TempDir Path folder)
+      throws Exception {
+    LoopbackNode node = new LoopbackNode(folder, "\"grace_s\":6", () -> {});
+    ScriptedWorker worker = new ScriptedWorker();
+    CountDownLatch never = new CountDownLatch(1);
+    worker.script =
+        r -> {
+          if (r.contains("/slow")) {
+            awaitUnlessInterrupted(never, 1_200);
+          } else if (r.contains("/stuck")) {
+            awaitUnlessInterrupted(never, 8_000);
+          }
+          return ScriptedWorker.ok(r, "hello");
+        };
+    node.configure(
+        "{\"revision\":1,\"route_table\":["
+            + LoopbackNode.route("/i/", "idempotent", "s", 5_000, 5_000)
+            + ","
+            + LoopbackNode.route("/n/", "non_idempotent", "s", 5_000, 5_000)
+            + ","
+            + LoopbackNode.route("/k/", "keyed", "s", 5_000, 5_000)
+            + "],\"service_table\":[{\"name\":\"s\"}]}");
+    node.beat("i-1", "s", worker.port(), 100);
+    LoopbackNode.untilAnswered(node.front, get("/k/first", "a0"));
+    // Keeps the node from ending early.
+    final CompletableFuture<String> stuck = later(node.front, get("/i/stuck", "a1"));
+
+    node.server.leave();
+    List<CompletableFuture<String>> answers = new ArrayList<>();
+    awaitUnlessInterrupted(never, 2_000);
+    for (int i = 0; i < 30; i++) {
+      String kind = List.of("/i/", "/n/", "/k/").get(i % 3);
+      answers.add(later(node.front, get(kind + "slow", "b" + i)));
+      awaitUnlessInterrupted(never, 90);
+    }
+
+    List<String> statuses = new ArrayList<>();
+    for (CompletableFuture<String> answer : answers) {
+      statuses.add(answer.get(5, TimeUnit.SECONDS).substring(0, "HTTP/1.1 200".length()));
+    }
+    assertTrue(statuses.contains("HTTP/1.1 200"), statuses.toString());
+    assertTrue(statuses.contains("HTTP/1.1 503"), statuses.toString());
+    statuses.removeIf(status -> status.endsWith("200") || status.endsWith("503"));
+    assertEquals(List.of(), statuses);
+    assertTrue(stuck.get(5, TimeUnit.SECONDS).startsWith("HTTP/1.1 50"), stuck.get());
+    worker.close();
+  }
+
+  private static void awaitUnlessInterrupted(CountDownLatch latch, long millis) {
+    try {
+      if (latch.await(millis, TimeUnit.MILLISECONDS)) {
+        throw new IllegalStateException("nothing counts the latch down");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** It would last until the deadline, 6.1 s after the signal, for the request that never ends. */
   @Test
   void shutdownDoesNotWaitForRequestsOfClientsThatLeft(@TempDir Path folder) throws Exception {
@@ -108,6 +173,14 @@
           } catch (Exception e) {
             return e.toString();
           }
-        });
+        },
+        GracefulShutdownTest::startDaemon);
+  }
+
+  /** Each client has a thread of its own, so that none waits for another. */
+  private static void startDaemon(Runnable client) {
+    Thread thread = new Thread(client, "client");
+    thread.setDaemon(true);
+    thread.start();
   }
 }
