A change of a table with unnamed items is answered, and the next one too

Cause: ConfigurationChange took the current items for named ones; a short configuration's parser that throws let what waited for it wait for ever.

--- a/src/main/java/org/otterpond/config/ConfigurationChange.java
+++ b/src/main/java/org/otterpond/config/ConfigurationChange.java
@@ -78,8 +78,10 @@
     if (!result.get(table).isJsonArray()) {
       throw new ConfigException(path + ": not a table of named items");
     }
-    for (JsonElement item : result.getAsJsonArray(table)) {
-      items.put(item.getAsJsonObject().get("name").getAsString(), item);
+    JsonArray list = result.getAsJsonArray(table);
+    for (int i = 0; i < list.size(); i++) {
+      JsonFields item = JsonFields.of(list.get(i), "current " + table + "[" + i + "]");
+      items.put(item.text("name"), list.get(i));
     }
     return items;
   }
--- a/src/main/java/org/otterpond/control/configuration/ConfigurationParsing.java
+++ b/src/main/java/org/otterpond/control/configuration/ConfigurationParsing.java
@@ -10,7 +10,8 @@
   private ConfigurationParsing() {}
 
   /**
-   * Parses a configuration: a long one off the owner thread, a short one at once.
+   * Parses a configuration: a long one off the owner thread, a short one at once. A parser that
+   * throws has no result; what waits for it goes on all the same.
    *
    * @param runtime the node's runtime
    * @param isLong whether parsing takes long, see {@link ParsedConfiguration#isLong}
@@ -21,8 +22,16 @@
     if (isLong) {
       runtime.runOffThread(parser, then);
     } else {
-      parser.run();
+      runLoggingFailure(runtime, parser);
       then.run();
     }
   }
+
+  private static void runLoggingFailure(NodeRuntime runtime, Runnable parser) {
+    try {
+      parser.run();
+    } catch (RuntimeException e) {
+      runtime.event("event=work_failed cause=\"" + e + "\"");
+    }
+  }
 }
--- a/src/test/java/org/otterpond/config/ConfigurationParserTest.java
+++ b/src/test/java/org/otterpond/config/ConfigurationParserTest.java
@@ -91,6 +91,20 @@
     assertTrue(after.has("extra"), "unknown fields are kept");
   }
 
+  /** Guards against a change that ends in an unexpected exception, and is never answered. */
+  @Test
+  void givenTableOfUnnamedItems_whenChanged_thenTheErrorNamesTheItem() throws ConfigException {
+    for (String table : new String[] {"[{'a':1}]", "[3]", "[{'name':7}]", "[null]"}) {
+      JsonObject current = json("{'revision':1,'other_table':" + table + "}");
+      JsonObject change = json("{'revision':2,'upsert_items':{'other_table':[{'name':'x'}]}}");
+
+      ConfigException error =
+          assertThrows(ConfigException.class, () -> ConfigurationParser.modify(current, change));
+
+      assertTrue(error.getMessage().contains("other_table[0]"), error.getMessage());
+    }
+  }
+
   @Test
   void givenTextThatIsNotOneObject_whenParsed_thenItIsRejected() {
     for (String text : new String[] {"", "{", "[]", "{} {}", "{'a':1,}", "nul", "{\"a\":tru"}) {
--- a/src/test/java/org/otterpond/control/primary/PrimaryServicesTest.java
+++ b/src/test/java/org/otterpond/control/primary/PrimaryServicesTest.java
@@ -83,6 +83,27 @@
     assertTrue(lastResponse().membership().isEmpty());
   }
 
+  /** Guards against a core that answers no change any more after one that it cannot apply. */
+  @Test
+  void givenTableOfUnnamedItems_whenItIsModified_thenThatIsInvalidAndTheNextChangeIsAnswered()
+      throws ProtocolException {
+    write(
+        WriteConfigurationRequest.REPLACE,
+        0,
+        "{\"revision\":1,\"route_table\":[],\"service_table\":[],\"other_table\":[{\"a\":1}]}");
+
+    int status =
+        write(
+            WriteConfigurationRequest.MODIFY,
+            1,
+            "{\"revision\":2,\"upsert_items\":{\"other_table\":[{\"name\":\"x\"}]}}");
+
+    assertEquals(WriteConfigurationReply.INVALID, status);
+    assertEquals(
+        WriteConfigurationReply.COMMITTED,
+        write(WriteConfigurationRequest.MODIFY, 1, "{\"revision\":2}"));
+  }
+
   @Test
   void givenNodeWithConfiguration_whenItIsModified_thenNodeGetsTheChangeOnly()
       throws ProtocolException {
