--- a/src/main/java/org/otterpond/net/SocketConnection.java
+++ b/src/main/java/org/otterpond/net/SocketConnection.java
@@ -98,7 +98,17 @@
       listener.endOfInput();
     } else if (count > 0) {
       buffer.flip();
-      listener.received(buffer);
+      receive(buffer);
+    }
+  }
+
+  /** Passes input on. Where memory ends meanwhile a part may be lost, so the connection fails. */
+  private void receive(ByteBuffer input) throws IOException {
+    try {
+      listener.received(input);
+    } catch (OutOfMemoryError e) {
+      listener.failed(new IOException("out of memory", e));
+      throw e;
     }
   }
 
