--- a/src/test/java/org/otterpond/simulation/ReplicaGroupTest.java
+++ b/src/test/java/org/otterpond/simulation/ReplicaGroupTest.java
@@ -21,15 +21,15 @@
   private static final long SECOND_MICROS = 1_000_000;
 
   private static void injectFaultsAndSettle(SimulatedReplicaGroup group) {
-    List<SimulatedReplicaGroup.Member> members = new ArrayList<>(group.members.values());
+    List<SimulatedReplica> members = new ArrayList<>(group.members.values());
     for (int i = 0; i < 8; i++) {
-      SimulatedReplicaGroup.Member member = members.get(group.world.random.nextInt(members.size()));
+      SimulatedReplica member = members.get(group.world.random.nextInt(members.size()));
       switch (group.world.random.nextInt(6)) {
         case 0 -> member.kill(false);
         case 1 -> member.kill(true);
-        case 2 -> member.frozen = member.up;
-        case 3 -> group.cutOff(member.name, false);
-        case 4 -> group.cutOff(member.name, true);
+        case 2 -> member.frozen = member.isRunning();
+        case 3 -> group.partition(member.name, false);
+        case 4 -> group.partition(member.name, true);
         default -> member.slowDisk = true;
       }
       group.world.network.lossProbability = group.world.random.nextInt(3) == 0 ? 0.05 : 0;
@@ -52,10 +52,11 @@
     SimulatedReplicaGroup group = new SimulatedReplicaGroup(seed, seed % 2 == 0 ? 3 : 4);
     group.world.run(2 * SECOND_MICROS);
     injectFaultsAndSettle(group);
-    assertEquals(List.of(), group.broken, () -> String.join("\n", group.world.eventLog));
+    assertEquals(
+        List.of(), group.checker.violations, () -> String.join("\n", group.world.eventLog));
     assertTrue(
-        group.updates > 500 && group.queries > 500,
-        group.updates + " updates, " + group.queries + " queries");
+        group.checker.acknowledgedUpdates() > 500 && group.checker.queries() > 500,
+        group.checker.acknowledgedUpdates() + " updates, " + group.checker.queries() + " queries");
   }
 
   @Test
@@ -63,8 +64,10 @@
     SimulatedReplicaGroup group = new SimulatedReplicaGroup(101, 3);
     group.world.run(4 * SECOND_MICROS);
     group.settle();
-    assertEquals(List.of(), group.broken);
-    assertTrue(group.updates > 1_000, group.updates + " updates");
+    assertEquals(List.of(), group.checker.violations);
+    assertTrue(
+        group.checker.acknowledgedUpdates() > 1_000,
+        group.checker.acknowledgedUpdates() + " updates");
     assertTrue(
         group.world.eventLog.stream().filter(l -> l.contains("group_reconciled")).count() <= 2);
   }
@@ -80,7 +83,7 @@
       defect.introduceInto(group);
       group.world.run(2 * SECOND_MICROS);
       injectFaultsAndSettle(group);
-      violations += group.broken.isEmpty() ? 0 : 1;
+      violations += group.checker.violations.isEmpty() ? 0 : 1;
     }
     return violations;
   }
@@ -103,12 +106,12 @@
       SimulatedReplicaGroup group = new SimulatedReplicaGroup(seed, 3);
       group.leaseFromTheAnswer = leaseFromTheAnswer;
       group.world.run(SECOND_MICROS + group.world.random.nextInt(50_000));
-      SimulatedReplicaGroup.Member first = group.members.values().iterator().next();
+      SimulatedReplica first = group.members.values().iterator().next();
       first.frozen = true;
       group.world.run(900_000 + group.world.random.nextInt(200_000));
       first.thaw();
       group.world.run(100_000);
-      violations += group.broken.isEmpty() ? 0 : 1;
+      violations += group.checker.violations.isEmpty() ? 0 : 1;
     }
     return violations;
   }
@@ -121,7 +124,8 @@
     group.members.values().forEach(m -> m.kill(true));
     group.settle();
     assertTrue(
-        group.broken.stream().anyMatch(b -> b.contains("lacks") || b.contains("serve in the end")));
+        group.checker.violations.stream()
+            .anyMatch(b -> b.contains("lacks") || b.contains("serve in the end")));
   }
 
   @ParameterizedTest
@@ -132,7 +136,8 @@
     group.members.values().forEach(m -> m.kill(true));
     group.world.run(SECOND_MICROS);
     group.settle();
-    assertEquals(List.of(), group.broken, () -> String.join("\n", group.world.eventLog));
+    assertEquals(
+        List.of(), group.checker.violations, () -> String.join("\n", group.world.eventLog));
   }
 
   /**
@@ -143,16 +148,18 @@
   void givenNewerWantedMembers_whenOldReportOfSameVersionArrives_thenWantedMembersStay() {
     SimulatedReplicaGroup group = new SimulatedReplicaGroup(35, 3);
     group.world.run(2 * SECOND_MICROS);
-    for (SimulatedReplicaGroup.Member member : group.members.values()) {
-      GroupConfiguration reported = member.group.view();
+    for (SimulatedReplica member : group.members.values()) {
+      GroupConfiguration reported = member.group().view();
       List<String> wanted = List.of(reported.primary(), "newcomer@x:1");
-      member.group.learn(reported.withWantedMembers(wanted));
-      member.group.onMessage(
-          reported.primary(),
-          new WireRecord("group.view")
-              .with("group", reported.group())
-              .with("view", reported.toWireRecord("view")));
-      assertEquals(wanted, member.group.view().wanted());
+      member.group().learn(reported.withWantedMembers(wanted));
+      member
+          .group()
+          .onMessage(
+              reported.primary(),
+              new WireRecord("group.view")
+                  .with("group", reported.group())
+                  .with("view", reported.toWireRecord("view")));
+      assertEquals(wanted, member.group().view().wanted());
     }
   }
 
