--- a/src/main/java/org/otterpond/messaging/MessageSender.java
+++ b/src/main/java/org/otterpond/messaging/MessageSender.java
@@ -45,6 +45,7 @@
 
   @Override
   public void deliver(DeliveryQueue queue, PendingDelivery delivery, WorkerEndpoint endpoint) {
+    delivery.partition().deliveryBegan(delivery.message());
     Route route = routes.apply(delivery.message());
     DeliveryAttempt attempt =
         new DeliveryAttempt(
@@ -53,7 +54,6 @@
             endpoint,
             route == null ? DEFAULT_TIMEOUT_MICROS : route.timeoutMicros(),
             route == null ? 1 : route.maxAttempts());
-    delivery.partition().deliveryBegan(delivery.message());
     endpoint.attemptStarted(EventLoop.now());
     active.began(delivery.partition());
     delivery.partition().whole(delivery.message(), content -> contentRead(attempt, content));
--- a/src/test/java/org/otterpond/simulation/MessageFaultsTest.java
+++ b/src/test/java/org/otterpond/simulation/MessageFaultsTest.java
@@ -54,7 +54,7 @@
   /** Pauses about as long as the lease of a primary, in series: it ends and is renewed at once. */
   @ParameterizedTest
   @ValueSource(longs = {31, 32, 33, 34})
-  void nothingIsStrandedWhenAStoreIsPausedShortlyAndOften(long seed) {
+  void nothingIsStrandedWhenStoreIsPausedShortlyAndOften(long seed) {
     MessageFixture messages = new MessageFixture(seed, 5, 2);
     SimulatedWorld world = messages.world;
 
