Keep the copies of replicas that leave a group below its replication factor

One lost disk of three then lost every message of the partition, although two whole copies had existed.

Change: a configuration holds the replication factor and the former members that are still eligible; the configuration manager computes both (GroupConfiguration.accept). Below the factor nothing is acknowledged. A listed replica keeps its copy (RetainedCopyRole) until a committed configuration does not list it, may lead only if the disks of all members are lost, and a transfer to it refreshes the copy instead of clearing it.

--- a/src/main/java/org/otterpond/control/primary/GroupReconfiguration.java
+++ b/src/main/java/org/otterpond/control/primary/GroupReconfiguration.java
@@ -1,6 +1,8 @@
 package org.otterpond.control.primary;
 
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.otterpond.control.message.AcknowledgedReply;
 import org.otterpond.control.message.CandidateFailedRequest;
 import org.otterpond.control.message.PrimaryReply;
@@ -21,12 +23,14 @@
   private final AssignmentState state;
   private final LeadershipConfirmation proof;
   private final AvoidedMembers avoided;
+  private final Predicate<String> diskLost;
   private final Runnable onProposal;
 
   /**
    * Creates the service.
    *
    * @param avoided gets the members that their groups removed
+   * @param diskLost whether the disk of a member is known to be lost
    * @param onProposal runs when a proposal is written, as replicas may be lacking then
    */
   GroupReconfiguration(
@@ -34,15 +38,17 @@
       AssignmentState state,
       LeadershipConfirmation proof,
       AvoidedMembers avoided,
+      Predicate<String> diskLost,
       Runnable onProposal) {
     this.runtime = runtime;
     this.state = state;
     this.proof = proof;
     this.avoided = avoided;
+    this.diskLost = diskLost;
     this.onProposal = onProposal;
   }
 
-  /** Handles a proposal; one for another version than the next gets the configuration in force. */
+  /** Handles a proposal; one that is refused gets the configuration in force. */
   void reconfigure(ReconfigureGroupRequest request, Consumer<PrimaryReply> reply) {
     GroupConfiguration proposed = request.configuration();
     WireRecord entry = state.replicated().get(PartitionAssignments.key(proposed.group()));
@@ -51,19 +57,14 @@
       return;
     }
     GroupConfiguration current = GroupConfiguration.of(entry);
-    if (proposed.version() != current.version() + 1) {
+    Optional<GroupConfiguration> accepted = current.accept(proposed, diskLost);
+    if (accepted.isEmpty()) {
       replyCommitted(entry, reply);
       return;
     }
-    avoidRemoved(current, proposed);
+    GroupConfiguration next = accepted.get();
+    avoidRemoved(current, next);
     onProposal.run();
-    GroupConfiguration next =
-        new GroupConfiguration(
-            proposed.group(),
-            proposed.version(),
-            proposed.primary(),
-            proposed.secondaries(),
-            current.wanted());
     state
         .writer()
         .assign(
@@ -98,7 +99,11 @@
             + " primary="
             + group.primary()
             + " secondaries="
-            + group.secondaries().size());
+            + group.secondaries().size()
+            + " factor="
+            + group.replicationFactor()
+            + " eligible="
+            + group.eligible().size());
     reply.accept(new ReconfigureGroupReply(true, group));
   }
 
--- a/src/main/java/org/otterpond/control/primary/NodeRetirement.java
+++ b/src/main/java/org/otterpond/control/primary/NodeRetirement.java
@@ -106,7 +106,7 @@
 
   private boolean hasReplicas(String member) {
     for (GroupConfiguration group : PartitionAssignments.all(state.committed())) {
-      if (group.has(member) || group.wanted().contains(member)) {
+      if (group.has(member) || group.wanted().contains(member) || group.isEligible(member)) {
         return true;
       }
     }
--- a/src/main/java/org/otterpond/control/primary/PartitionServices.java
+++ b/src/main/java/org/otterpond/control/primary/PartitionServices.java
@@ -7,6 +7,7 @@
 import org.otterpond.control.message.RetirementStatusRequest;
 import org.otterpond.control.state.Assignments;
 import org.otterpond.control.state.FaultTolerance;
+import org.otterpond.replication.GroupConfiguration;
 import org.otterpond.runtime.NodeRuntime;
 
 /** The services for message partitions: placement, reconfiguration and retirement. */
@@ -28,7 +29,16 @@
     AvoidedMembers avoided = new AvoidedMembers();
     placement = new ReplicaPlacement(runtime, faults.machines(), faults.zones(), state, avoided);
     retirement = new NodeRetirement(runtime, state, proof, placement.replicas());
-    reconfiguration = new GroupReconfiguration(runtime, state, proof, avoided, placement::stepSoon);
+    reconfiguration =
+        new GroupReconfiguration(
+            runtime, state, proof, avoided, this::isDiskLost, placement::stepSoon);
+  }
+
+  /** A machine that polls with another disk has lost the one that the member is named by. */
+  private boolean isDiskLost(String member) {
+    String address = GroupConfiguration.addressOf(member);
+    return leases.storageNodes().stream()
+        .anyMatch(node -> node.address().equals(address) && !node.member().equals(member));
   }
 
   /** The committed assignments and those of the replicated state. */
--- a/src/main/java/org/otterpond/control/primary/ReplicaPlacement.java
+++ b/src/main/java/org/otterpond/control/primary/ReplicaPlacement.java
@@ -133,7 +133,9 @@
       String primary = members.get(0);
       primaries.merge(primary, 1, Integer::sum);
       List<String> secondaries = members.subList(1, members.size());
-      write(new GroupConfiguration(partition, 1, primary, secondaries, members), count);
+      GroupConfiguration group =
+          new GroupConfiguration(partition, 1, primary, secondaries, members);
+      write(group.withReplicationFactor(selection.replicas()), count);
     }
     runtime.event(
         "event=partitions_created count="
@@ -154,7 +156,8 @@
     Map<String, Integer> load = loadOf(groups, nodes);
     int changes = 0;
     boolean moving = false;
-    for (GroupConfiguration group : groups) {
+    for (GroupConfiguration stored : groups) {
+      GroupConfiguration group = withPresentFactor(stored, groups.size());
       List<StorageNode> kept = usableMembers(group, nodesByMember);
       if (isComplete(group, kept, nodes)) {
         moving |= !Set.copyOf(group.members()).equals(Set.copyOf(group.wanted()));
@@ -170,6 +173,18 @@
     }
   }
 
+  /**
+   * A group of an earlier version of the program, or of other settings, gets the factor in force.
+   */
+  private GroupConfiguration withPresentFactor(GroupConfiguration group, int partitionCount) {
+    if (group.replicationFactor() == selection.replicas()) {
+      return group;
+    }
+    GroupConfiguration changed = group.withReplicationFactor(selection.replicas());
+    write(changed, partitionCount);
+    return changed;
+  }
+
   private static Map<String, Integer> loadOf(
       List<GroupConfiguration> groups, List<StorageNode> nodes) {
     Map<String, Integer> load = new HashMap<>();
@@ -204,6 +219,10 @@
       int partitionCount) {
     List<StorageNode> candidates =
         nodes.stream().filter(node -> !avoided.contains(group.group(), node.member())).toList();
+    if (candidates.size() < selection.replicas()) {
+      // Without the avoided ones the group could not be fully replicated.
+      candidates = nodes;
+    }
     List<String> wanted =
         selection.fill(kept, candidates, load).stream().map(StorageNode::member).toList();
     // A silent node stays wanted where no other can take its place.
--- a/src/main/java/org/otterpond/messaging/Message.java
+++ b/src/main/java/org/otterpond/messaging/Message.java
@@ -94,6 +94,11 @@
     return new MessageSnapshot(keys, destination, progress, content);
   }
 
+  /** Returns whether a snapshot was made of this message in the same state. */
+  boolean matches(MessageProgress progress) {
+    return serial == progress.serial() && state == progress.state();
+  }
+
   MessageKeys keys() {
     return keys;
   }
--- a/src/main/java/org/otterpond/messaging/MessageIndex.java
+++ b/src/main/java/org/otterpond/messaging/MessageIndex.java
@@ -64,6 +64,24 @@
     ended.addLast(message);
   }
 
+  /** Removes a message; returns whether it was there. */
+  boolean remove(Message message) {
+    if (!byId.remove(message.id(), message)) {
+      return false;
+    }
+    String operation = message.keys().scopedOperationKey();
+    if (operation != null) {
+      byOperation.remove(operation, message);
+    }
+    if (message.queued()) {
+      queuedCount--;
+    } else {
+      deadCount -= message.state == MessageState.DEAD_LETTER ? 1 : 0;
+      ended.remove(message);
+    }
+    return true;
+  }
+
   /** Removes and returns the messages that ended before a time. */
   List<Message> removeEndedBefore(long timeMicros) {
     List<Message> removed = new ArrayList<>();
--- a/src/main/java/org/otterpond/messaging/MessagePartition.java
+++ b/src/main/java/org/otterpond/messaging/MessagePartition.java
@@ -1,8 +1,10 @@
 package org.otterpond.messaging;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.otterpond.messaging.message.AcceptedMessage;
@@ -33,6 +35,9 @@
   private final OrderedMessages ordered = new OrderedMessages();
   private final DeliveryStages delivery;
 
+  /** During a refresh: the messages of the state before that nothing has replaced yet. */
+  private final Set<Message> outdated = new HashSet<>();
+
   /**
    * What the partitions of one machine share.
    *
@@ -94,9 +99,13 @@
   }
 
   private void accept(AcceptedMessage entry, long serial, long position) {
-    if (index.get(entry.keys().id()) != null) {
+    Message known = index.get(entry.keys().id());
+    if (known != null && !outdated.remove(known)) {
       return;
     }
+    if (known != null) {
+      remove(known);
+    }
     Message message = Message.accepted(entry, serial, position, runtime.now());
     add(message);
     if (delivery.isActive()) {
@@ -112,6 +121,15 @@
     }
   }
 
+  private void remove(Message message) {
+    if (index.remove(message)) {
+      resources.cache().remove(message);
+      if (message.queued() && message.ordered()) {
+        ordered.removeAndPeek(message);
+      }
+    }
+  }
+
   private static void countAttempts(Message message, int attempts) {
     if (message != null) {
       message.attempts = Math.max(message.attempts, attempts);
@@ -124,6 +142,13 @@
       add(Message.ended(entry, runtime.now()));
       return;
     }
+    boolean superseded = outdated.remove(message) && message.state != entry.state();
+    if (superseded && !message.queued()) {
+      // The end that was known before the refresh was never acknowledged.
+      index.remove(message);
+      message.state = MessageState.QUEUED;
+      index.add(message);
+    }
     if (!message.queued()) {
       return;
     }
@@ -219,6 +244,24 @@
     index.clear();
     ordered.clear();
     delivery.clear();
+    outdated.clear();
+  }
+
+  @Override
+  public void beginRefresh() {
+    outdated.clear();
+    outdated.addAll(index.all());
+  }
+
+  @Override
+  public void finishRefresh() {
+    outdated.forEach(this::remove);
+    outdated.clear();
+  }
+
+  @Override
+  public void cancelRefresh() {
+    outdated.clear();
   }
 
   @Override
@@ -270,6 +313,10 @@
       return;
     }
     Message known = index.get(snapshot.keys().id());
+    if (known != null && outdated.remove(known) && !known.matches(snapshot.progress())) {
+      remove(known);
+      known = null;
+    }
     if (known == null) {
       add(Message.restored(snapshot, position, runtime.now()));
       return;
--- a/src/main/java/org/otterpond/messaging/MessageRequests.java
+++ b/src/main/java/org/otterpond/messaging/MessageRequests.java
@@ -76,7 +76,10 @@
     return content == null ? new Rejected(Rejected.UNREADABLE) : new Body(content.body());
   }
 
-  /** Returns a message of the tenant, or null after replying that there is none here. */
+  /**
+   * Returns a message of the tenant, or null after replying that there is none here. The end of a
+   * message is not shown while too few replicas hold it.
+   */
   private Message find(int group, String id, String tenant, Consumer<MessageStoreReply> reply) {
     PartitionReplica partition = partitions.apply(group);
     if (partition == null || !partition.serving()) {
@@ -88,6 +91,10 @@
       reply.accept(new NoSuchMessage());
       return null;
     }
+    if (!message.queued() && !partition.group().mayAcknowledge()) {
+      reply.accept(new Rejected(Rejected.NOT_SERVING));
+      return null;
+    }
     return message;
   }
 
--- a/src/main/java/org/otterpond/messaging/PendingWrites.java
+++ b/src/main/java/org/otterpond/messaging/PendingWrites.java
@@ -44,7 +44,8 @@
     String operation = keys.scopedOperationKey();
     Message stored = operation == null ? null : messages.index().ofOperation(operation);
     if (stored != null || messages.get(keys.id()) != null) {
-      reply.accept(new Accepted(stored != null ? stored.id() : keys.id()));
+      String storedId = stored != null ? stored.id() : keys.id();
+      group.awaitFullReplication(new RepeatListener(storedId, reply));
       return;
     }
     String first = operation == null ? null : idByOperation.get(operation);
@@ -69,6 +70,28 @@
     group.update(entry, true, new WriteListener(id, operation, waiters));
   }
 
+  /**
+   * Answers the repeat of a stored message. If the outcome stays open nobody is answered, as a
+   * rejection would promise that the message is not stored.
+   */
+  private record RepeatListener(String storedId, Consumer<MessageStoreReply> reply)
+      implements UpdateListener {
+    @Override
+    public void committed() {
+      reply.accept(new Accepted(storedId));
+    }
+
+    @Override
+    public void rejected() {
+      // Nothing was submitted.
+    }
+
+    @Override
+    public void undecided() {
+      // The node that waits asks the next primary.
+    }
+  }
+
   /** Ends a pending write and answers all that wait for it, as far as its outcome is known. */
   private final class WriteListener implements UpdateListener {
     private final String id;
--- a/src/main/java/org/otterpond/messaging/SegmentCleaner.java
+++ b/src/main/java/org/otterpond/messaging/SegmentCleaner.java
@@ -30,6 +30,10 @@
     if (cleaning || !storage.oldestClosedFor(segmentRetentionMicros)) {
       return;
     }
+    // A copy that is being refreshed has no header that would show it complete in newer segments.
+    if (partitions.stream().anyMatch(partition -> partition.group().isRefreshing())) {
+      return;
+    }
     cleaning = true;
     Run run = new Run();
     long segmentEnd = storage.oldestEnd();
--- a/src/main/java/org/otterpond/replication/CandidateRole.java
+++ b/src/main/java/org/otterpond/replication/CandidateRole.java
@@ -8,18 +8,24 @@
  * section "Reconfiguration, Reconciliation, and Recovery").
  */
 final class CandidateRole implements ReplicaRole {
+  /** A transfer that brings nothing for this long is given up where a copy is retained. */
+  private static final long ABANDONED_MICROS = 4_000_000;
+
   private final LocalReplica replica;
   private final String source;
   private final long transfer;
   private long nextPieces;
+  private boolean lastPieceReceived;
   private boolean copyDurable;
   private boolean ended;
+  private long receivedAtMicros;
 
-  /** Begins a transfer: the state that this node had before is void. */
+  /** Begins a transfer: the state that this node had before is void unless it is retained. */
   CandidateRole(LocalReplica replica, CopyStartMessage message) {
     this.replica = replica;
     this.source = message.source();
     this.transfer = message.transfer();
+    this.receivedAtMicros = replica.now();
     replica.beginCopy(message.committedPoint());
   }
 
@@ -28,6 +34,11 @@
     return source.equals(member);
   }
 
+  /** Returns whether nothing has come from the source for long. */
+  boolean isAbandoned(long nowMicros) {
+    return nowMicros - receivedAtMicros > ABANDONED_MICROS;
+  }
+
   @Override
   public void end() {
     ended = true;
@@ -39,6 +50,7 @@
     if (!ofThisTransfer || replica.hasDiskFailed()) {
       return;
     }
+    receivedAtMicros = replica.now();
     long version = replica.configuration().version();
     PreparedEntries.insert(replica, message, () -> acknowledge(version));
   }
@@ -46,7 +58,7 @@
   @Override
   public void onCopyPieces(String fromAddress, CopyPiecesMessage message) {
     boolean fromSource = GroupConfiguration.addressOf(source).equals(fromAddress);
-    if (!fromSource || message.transfer() != transfer || replica.isComplete()) {
+    if (!fromSource || message.transfer() != transfer || lastPieceReceived) {
       return;
     }
     if (message.number() != nextPieces) {
@@ -54,6 +66,7 @@
       return;
     }
     nextPieces++;
+    receivedAtMicros = replica.now();
     message.pieces().forEach(this::loadOnceDurable);
     if (message.last()) {
       complete();
@@ -77,9 +90,9 @@
             });
   }
 
+  /** Writes are answered in their order: once this one is, all pieces have been loaded. */
   private void complete() {
-    // Entries that arrive from now on follow the pieces in the log.
-    replica.setComplete(true);
+    lastPieceReceived = true;
     GroupConfiguration configuration = replica.configuration();
     replica
         .runtime()
@@ -88,6 +101,7 @@
             position -> {
               if (position >= 0 && !ended && !replica.hasDiskFailed()) {
                 copyDurable = true;
+                replica.completeCopy();
                 acknowledge(replica.configuration().version());
               }
             });
--- a/src/main/java/org/otterpond/replication/GroupLogRecord.java
+++ b/src/main/java/org/otterpond/replication/GroupLogRecord.java
@@ -113,18 +113,28 @@
     }
   }
 
-  /** A state transfer to this node began; what it had before is void. */
-  record CopyStarted(int group, long committedPoint) implements GroupLogRecord {
+  /**
+   * A state transfer to this node began.
+   *
+   * @param refreshes whether the state before stays valid until the transfer has ended; otherwise
+   *     it is void
+   */
+  record CopyStarted(int group, long committedPoint, boolean refreshes) implements GroupLogRecord {
     static final String KIND = "copy";
     private static final String POINT = "point";
+    private static final String REFRESHES = "refreshes";
 
     static CopyStarted of(WireRecord encoded) throws ProtocolException {
-      return new CopyStarted((int) encoded.requiredNumber(GROUP), encoded.requiredNumber(POINT));
+      return new CopyStarted(
+          (int) encoded.requiredNumber(GROUP),
+          encoded.requiredNumber(POINT),
+          encoded.truth(REFRESHES));
     }
 
     @Override
     public WireRecord toWireRecord() {
-      return new WireRecord(KIND).with(GROUP, group).with(POINT, committedPoint);
+      WireRecord encoded = new WireRecord(KIND).with(GROUP, group).with(POINT, committedPoint);
+      return refreshes ? encoded.with(REFRESHES, true) : encoded;
     }
   }
 
--- a/src/main/java/org/otterpond/replication/LocalReplica.java
+++ b/src/main/java/org/otterpond/replication/LocalReplica.java
@@ -14,6 +14,7 @@
   private final PreparedList preparedList;
   private GroupConfiguration configuration;
   private boolean complete;
+  private boolean refreshing;
   private boolean diskFailed;
   private long lastTransfer;
 
@@ -95,6 +96,22 @@
     complete = isComplete;
   }
 
+  /**
+   * Returns whether a transfer is replacing a retained copy. Until it ends, the state is a mixture
+   * of both that still holds everything that was acknowledged.
+   */
+  boolean isRefreshing() {
+    return refreshing;
+  }
+
+  /**
+   * Returns whether this replica is no member and must keep its copy: the group is not fully
+   * replicated yet, and this copy holds everything that was acknowledged.
+   */
+  boolean mustRetainCopy() {
+    return configuration != null && configuration.isEligible(member) && (complete || refreshing);
+  }
+
   /** Returns whether a write failed since the last state transfer began. */
   boolean hasDiskFailed() {
     return diskFailed;
@@ -116,11 +133,51 @@
     }
   }
 
-  /** Begins with an empty state that a transfer is to fill from a committed point on. */
+  /**
+   * Begins a transfer that brings the state from a committed point on. A copy that must be retained
+   * is refreshed; any other is void from now on.
+   */
   void beginCopy(long committedPoint) {
     diskFailed = false;
-    clear(committedPoint);
-    append(new GroupLogRecord.CopyStarted(group, committedPoint));
+    boolean refresh = mustRetainCopy();
+    if (refresh) {
+      beginRefresh(committedPoint);
+    } else {
+      clear(committedPoint);
+    }
+    runtime.journal(
+        new GroupLogRecord.CopyStarted(group, committedPoint, refresh),
+        position -> {
+          if (position < 0) {
+            onWriteFailed();
+          }
+        });
+  }
+
+  /** Begins to refresh the present copy, in memory. */
+  void beginRefresh(long committedPoint) {
+    complete = false;
+    refreshing = true;
+    preparedList.beginRefresh(committedPoint);
+    stateMachine.beginRefresh();
+  }
+
+  /** Ends a transfer: all pieces of the state have been loaded. */
+  void completeCopy() {
+    if (refreshing) {
+      stateMachine.finishRefresh();
+      preparedList.finishRefresh();
+    }
+    refreshing = false;
+    complete = true;
+  }
+
+  /** Returns to the retained copy as far as the transfer has not replaced it, in memory. */
+  void cancelRefresh() {
+    stateMachine.cancelRefresh();
+    preparedList.cancelRefresh();
+    refreshing = false;
+    complete = true;
   }
 
   /** Removes the state of a replica that left the group. */
@@ -132,6 +189,7 @@
   /** Removes the state in memory and continues after a committed point. */
   void clear(long committedPoint) {
     complete = false;
+    refreshing = false;
     stateMachine.clear();
     preparedList.reset(committedPoint);
   }
--- a/src/main/java/org/otterpond/replication/MembershipMonitor.java
+++ b/src/main/java/org/otterpond/replication/MembershipMonitor.java
@@ -14,6 +14,7 @@
 
   private final LocalReplica replica;
   private final Followers followers;
+  private final PrimaryStatus status;
   private final PrimaryLease lease;
   private final ConfigurationProposer proposer;
   private final StateTransferSender transfers;
@@ -21,11 +22,13 @@
   MembershipMonitor(
       LocalReplica replica,
       Followers followers,
+      PrimaryStatus status,
       PrimaryLease lease,
       ConfigurationProposer proposer,
       StateTransferSender transfers) {
     this.replica = replica;
     this.followers = followers;
+    this.status = status;
     this.lease = lease;
     this.proposer = proposer;
     this.transfers = transfers;
@@ -151,8 +154,9 @@
     return false;
   }
 
+  /** An earlier primary may have committed whatever was in the list when the version began. */
   private boolean isCaughtUp(Follower candidate) {
-    return candidate.copyDurable
-        && candidate.acknowledgedSerial >= replica.preparedList().committedPoint();
+    long required = Math.max(replica.preparedList().committedPoint(), status.reconcileSerial);
+    return candidate.copyDurable && candidate.acknowledgedSerial >= required;
   }
 }
--- a/src/main/java/org/otterpond/replication/PreparedList.java
+++ b/src/main/java/org/otterpond/replication/PreparedList.java
@@ -45,6 +45,12 @@
   /** Whether an entry was missing between two others in the replay. */
   private boolean gap;
 
+  /** Whether the list is that of a transfer which refreshes the state before it. */
+  private boolean refreshing;
+
+  /** The largest serial number before a refresh began; the list continues after it if given up. */
+  private long lastSerialBeforeRefresh;
+
   private static final class PendingEntry {
     private final WireRecord entry;
     private long logPosition;
@@ -127,6 +133,15 @@
     }
   }
 
+  /** Applies the durable entries after the committed point, whether or not the group did. */
+  private void applyPossiblyCommitted() {
+    pending
+        .headMap(durableSerial, true)
+        .forEach(
+            (serial, durable) ->
+                stateMachine.applyPossiblyCommitted(durable.entry, serial, durable.logPosition));
+  }
+
   /** Removes all entries above a serial number. */
   void truncate(long serial) {
     if (lastSerial <= serial) {
@@ -145,6 +160,7 @@
    */
   void reset(long point) {
     continueAfter(point);
+    endRefresh();
     replayAnchored = true;
     unprovenSerial = 0;
     gap = false;
@@ -158,6 +174,38 @@
     committedPoint = point;
   }
 
+  /**
+   * Applies what is durable and continues after the committed point of the transfer that refreshes
+   * the state. Unlike after a reset, a gap of the list before still counts.
+   */
+  void beginRefresh(long point) {
+    applyPossiblyCommitted();
+    lastSerialBeforeRefresh = Math.max(lastSerialBeforeRefresh, lastSerial);
+    refreshing = true;
+    startedAtHeader = false;
+    continueAfter(point);
+  }
+
+  /** Ends a refresh: the state does not depend on what was in the list before. */
+  void finishRefresh() {
+    endRefresh();
+    replayAnchored = true;
+    unprovenSerial = 0;
+    gap = false;
+  }
+
+  /** Gives up a refresh: applies what is durable and uses no serial number again. */
+  void cancelRefresh() {
+    applyPossiblyCommitted();
+    continueAfter(Math.max(lastSerial, lastSerialBeforeRefresh));
+    endRefresh();
+  }
+
+  private void endRefresh() {
+    refreshing = false;
+    lastSerialBeforeRefresh = 0;
+  }
+
   /** Writes the uncommitted entries again, so that the beginning of the log can be removed. */
   void rewriteUncommitted(long version) {
     for (Map.Entry<Long, PendingEntry> listed : new ArrayList<>(pending.entrySet())) {
@@ -200,6 +248,9 @@
     if (startedAtHeader) {
       // The entries between were committed before the segment that contained them was removed.
       continueAfter(nextSerial - 1);
+    } else if (refreshing) {
+      // A transfer whose write was refused never ends; the state before it is not affected.
+      continueAfter(nextSerial - 1);
     } else if (replayAnchored) {
       gap = true;
     } else {
--- a/src/main/java/org/otterpond/replication/PrimaryRole.java
+++ b/src/main/java/org/otterpond/replication/PrimaryRole.java
@@ -35,6 +35,7 @@
         new MembershipMonitor(
             replica,
             followers,
+            status,
             lease,
             proposer,
             new StateTransferSender(replica, followers, prepareSender));
@@ -133,8 +134,7 @@
     if (updates.isEmpty() || !canAdmit()) {
       return;
     }
-    GroupConfiguration configuration = replica.configuration();
-    boolean fullyReplicated = configuration.members().size() >= configuration.wanted().size();
+    boolean fullyReplicated = replica.configuration().isFullyReplicated();
     updates.admit(fullyReplicated && !status.handingOver, this::advanceCommittedPoint);
     prepareSender.scheduleFlush();
   }
@@ -197,10 +197,23 @@
       preparedList.commit(preparedByAll);
       updates.onCommitted(previousPoint);
     }
+    acknowledgeIfFullyReplicated();
     servingChanged.run();
     admitUpdates();
   }
 
+  /** Notifies the listener once what is committed is on as many replicas as wanted. */
+  void awaitFullReplication(UpdateListener listener) {
+    updates.awaitReplicas(listener);
+    acknowledgeIfFullyReplicated();
+  }
+
+  private void acknowledgeIfFullyReplicated() {
+    if (status.reconciled && replica.configuration().isFullyReplicated()) {
+      updates.onFullyReplicated();
+    }
+  }
+
   private boolean allSecondariesReconciled() {
     return followers.snapshot().values().stream()
         .allMatch(follower -> follower.isCandidate() || follower.reconciled);
@@ -269,10 +282,19 @@
     } else if (cannotLead(nowMicros)) {
       stepAside();
     } else {
+      advanceIfBehind();
       tickFollowers(nowMicros);
     }
   }
 
+  /** Entries that this node prepared as a secondary may become durable after it became primary. */
+  private void advanceIfBehind() {
+    PreparedList preparedList = replica.preparedList();
+    if (!status.reconciled || preparedList.committedPoint() < preparedList.lastSerial()) {
+      advanceCommittedPoint();
+    }
+  }
+
   /** Returns whether this node's own log makes no progress, or another was proposed already. */
   private boolean cannotLead(long nowMicros) {
     PreparedList preparedList = replica.preparedList();
--- a/src/main/java/org/otterpond/replication/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replication/ReplicaGroup.java
@@ -63,6 +63,31 @@
     return role.isServing();
   }
 
+  /**
+   * Returns whether what is committed may be acknowledged to clients at this moment: this node
+   * serves, and as many members hold it as the replication factor asks for.
+   */
+  public boolean mayAcknowledge() {
+    return serving() && replica.configuration().isFullyReplicated();
+  }
+
+  /**
+   * Notifies the listener once what is committed now may be acknowledged. Its outcome is undecided
+   * if this replica ceases to be primary before.
+   */
+  public void awaitFullReplication(UpdateListener listener) {
+    if (role instanceof PrimaryRole primary && replica.isPrimary()) {
+      primary.awaitFullReplication(listener);
+    } else {
+      listener.undecided();
+    }
+  }
+
+  /** Returns whether a retained copy is being replaced, so that its log must not be cleaned. */
+  public boolean isRefreshing() {
+    return replica.isRefreshing();
+  }
+
   private void reportServing() {
     boolean serving = serving();
     if (serving != reportedServing) {
@@ -76,7 +101,7 @@
   /** Takes the manager's configuration; the manager's updates arrive in their order. */
   public void learn(GroupConfiguration installed) {
     if (replica.isInVersion(installed.version())) {
-      replica.setConfiguration(replica.configuration().withWantedMembers(installed.wanted()));
+      replica.setConfiguration(installed);
     } else {
       adopt(installed);
     }
@@ -99,7 +124,7 @@
       replica.setComplete(true);
     }
     replica.setConfiguration(installed);
-    if (wasMember || (isMember && replica.isComplete())) {
+    if (wasMember || replica.isComplete()) {
       replica.append(new GroupLogRecord.ConfigurationAdopted(installed));
     }
     changeRole(wasMember, continued);
@@ -116,17 +141,21 @@
         // The present segment may have begun before the transfer ended, without a header.
         header().ifPresent(replica::append);
       }
-    } else if (role instanceof CandidateRole candidate) {
-      if (!candidate.isCopiedFrom(configuration.primary())) {
-        leaveGroup();
-      }
-    } else if (wasMember) {
+    } else if (role instanceof CandidateRole candidate
+        && candidate.isCopiedFrom(configuration.primary())) {
+      return; // The transfer goes on under the new version.
+    } else if (replica.mustRetainCopy()) {
+      retainCopy();
+    } else if (wasMember || isInvolved() || replica.isComplete()) {
       leaveGroup();
     }
   }
 
   private void becomePrimary(boolean wasMember, boolean continued) {
-    boolean copyVoid = !replica.isComplete() && (wasMember || role instanceof CandidateRole);
+    boolean copyVoid =
+        !replica.isComplete()
+            && !replica.isRefreshing()
+            && (wasMember || role instanceof CandidateRole);
     PrimaryRole primary =
         role instanceof PrimaryRole present
             ? present
@@ -136,17 +165,52 @@
     }
     if (copyVoid) {
       replica.dropCopy();
+    } else {
+      cancelRefresh();
     }
     if (replica.isComplete()) {
       primary.beginVersion(continued);
     }
   }
 
+  private void retainCopy() {
+    enter(new RetainedCopyRole(replica, proposer));
+    cancelRefresh();
+    logCopy("group_copy_retained");
+  }
+
+  /** Returns to a retained copy whose refresh was not finished. */
+  private void cancelRefresh() {
+    if (replica.isRefreshing()) {
+      replica.cancelRefresh();
+      header().ifPresent(replica::append);
+    }
+  }
+
   private void leaveGroup() {
+    logCopy("group_copy_dropped");
     enter(new NonMemberRole());
     replica.dropCopy();
   }
 
+  private void logCopy(String event) {
+    replica
+        .runtime()
+        .event(
+            "event="
+                + event
+                + " group="
+                + replica.group()
+                + " version="
+                + replica.configuration().version()
+                + " members="
+                + replica.configuration().members().size()
+                + " complete="
+                + replica.isComplete()
+                + " serial="
+                + replica.preparedList().lastSerial());
+  }
+
   private void enter(ReplicaRole next) {
     role.end();
     reportServing();
@@ -192,10 +256,16 @@
 
   /** Advances the timers; to be called every beacon interval or more often. */
   public void tick() {
-    if (replica.configuration() != null) {
-      role.tick(replica.now());
-      reportServing();
+    if (replica.configuration() == null) {
+      return;
+    }
+    if (role instanceof CandidateRole candidate
+        && candidate.isAbandoned(replica.now())
+        && replica.mustRetainCopy()) {
+      retainCopy();
     }
+    role.tick(replica.now());
+    reportServing();
   }
 
   /** Reports that the machine with that address closed its connection. */
@@ -299,12 +369,15 @@
     if (!logReplay.finish()) {
       return;
     }
+    cancelRefresh();
     if (replica.isPrimary()) {
       PrimaryRole primary = new PrimaryRole(replica, proposer, this::reportServing);
       primary.resumeAfterRestart();
       enter(primary);
     } else if (replica.isMember()) {
       enter(new SecondaryRole(replica, proposer, logReplay.reconciledVersion()));
+    } else if (replica.mustRetainCopy()) {
+      retainCopy();
     }
     // A finished copy of a candidate is kept until the manager says whether it became a member.
   }
@@ -318,7 +391,10 @@
   }
 
   private Optional<GroupLogRecord.SegmentHeader> header() {
-    boolean present = replica.isComplete() && replica.isMember() && replica.isLogReliable();
+    boolean present =
+        replica.isComplete()
+            && (replica.isMember() || replica.mustRetainCopy())
+            && replica.isLogReliable();
     return present
         ? Optional.of(
             new GroupLogRecord.SegmentHeader(replica.group(), committed(), replica.configuration()))
--- a/src/main/java/org/otterpond/replication/ReplicaLogReplay.java
+++ b/src/main/java/org/otterpond/replication/ReplicaLogReplay.java
@@ -58,10 +58,14 @@
 
   private void applyTransfer(GroupLogRecord logRecord) {
     if (logRecord instanceof GroupLogRecord.CopyStarted started) {
-      replica.clear(started.committedPoint());
+      if (started.refreshes() && (replica.isComplete() || replica.isRefreshing())) {
+        replica.beginRefresh(started.committedPoint());
+      } else {
+        replica.clear(started.committedPoint());
+      }
     } else if (logRecord instanceof GroupLogRecord.CopyCompleted completed) {
       replica.setConfiguration(completed.configuration());
-      replica.setComplete(true);
+      replica.completeCopy();
     } else if (logRecord instanceof GroupLogRecord.CopyDropped) {
       discard();
     }
@@ -77,6 +81,9 @@
 
   private void applyHeader(GroupLogRecord.SegmentHeader header) {
     replica.setConfiguration(header.configuration());
+    if (replica.isRefreshing()) {
+      replica.cancelRefresh();
+    }
     replica.setComplete(true);
     replica.preparedList().replayHeader(header.committedPoint());
   }
@@ -88,7 +95,8 @@
    * @return whether the replica has a usable state
    */
   boolean finish() {
-    if (replica.isComplete() && !replica.preparedList().hasGap()) {
+    boolean hasCopy = replica.isComplete() || replica.isRefreshing();
+    if (hasCopy && !replica.preparedList().hasGap()) {
       return true;
     }
     discard();
--- a/src/main/java/org/otterpond/replication/ReplicaRole.java
+++ b/src/main/java/org/otterpond/replication/ReplicaRole.java
@@ -4,7 +4,8 @@
  * The role of a replica in its group. {@link ReplicaGroup} chooses the role from the configuration
  * in force and passes it the events; a role ignores the events that it has no part in.
  */
-sealed interface ReplicaRole permits PrimaryRole, SecondaryRole, CandidateRole, NonMemberRole {
+sealed interface ReplicaRole
+    permits PrimaryRole, SecondaryRole, CandidateRole, RetainedCopyRole, NonMemberRole {
   /** Returns whether queries and updates may be served at this moment. */
   default boolean isServing() {
     return false;
--- a/src/main/java/org/otterpond/replication/SecondaryRole.java
+++ b/src/main/java/org/otterpond/replication/SecondaryRole.java
@@ -85,7 +85,8 @@
 
   @Override
   public void onReconcile(ReconcileMessage message) {
-    if (!canPrepare()) {
+    if (proposedItself || !canPrepare()) {
+      // An acknowledgement counts as one of a beacon: the primary would take it for a lease.
       return;
     }
     GroupConfiguration configuration = message.configuration();
--- a/src/main/java/org/otterpond/replication/StateMachine.java
+++ b/src/main/java/org/otterpond/replication/StateMachine.java
@@ -16,6 +16,17 @@
    */
   void apply(WireRecord entry, long serial, long place);
 
+  /**
+   * Applies a durable entry that may have been committed but is not known to be, as a copy that is
+   * about to be refreshed must not lack it.
+   *
+   * @param serial serial number of the entry; the group may have used it for another one
+   * @param place position of the entry in the log of this node
+   */
+  default void applyPossiblyCommitted(WireRecord entry, long serial, long place) {
+    apply(entry, serial, place);
+  }
+
   /** Removes the whole state. */
   void clear();
 
@@ -25,9 +36,24 @@
    */
   void export(Consumer<WireRecord> piece);
 
-  /** Loads a piece of the state; a piece that is known already changes nothing. */
+  /**
+   * Loads a piece of the state; a piece that is known already changes nothing, unless a refresh is
+   * in progress and it was known before that began.
+   */
   void load(WireRecord piece, long place);
 
+  /**
+   * Begins to replace the state piece by piece. Until the refresh ends, the present state stays
+   * valid where neither a piece was loaded nor an entry applied.
+   */
+  void beginRefresh();
+
+  /** Ends a refresh: what was neither loaded nor applied since its beginning is removed. */
+  void finishRefresh();
+
+  /** Gives up a refresh: what has not been replaced stays. */
+  void cancelRefresh();
+
   /** Reports that this replica began or ceased to serve as primary. */
   void serving(boolean is);
 
--- a/src/main/java/org/otterpond/simulation/SimulatedReplica.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedReplica.java
@@ -1,7 +1,9 @@
 package org.otterpond.simulation;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.otterpond.protocol.ProtocolException;
@@ -33,12 +35,18 @@
 
   boolean frozen;
 
+  /** The member whose lost disk this one's replaces, until the process has run; or null. */
+  String replacedMember;
+
   private ReplicaGroup group;
   private int incarnation;
   private boolean running;
   private final List<Runnable> whileFrozen = new ArrayList<>();
   private final List<Long> applied = new ArrayList<>();
 
+  /** During a refresh: the values that nothing has replaced yet. */
+  private final Set<Long> outdated = new HashSet<>();
+
   SimulatedReplica(SimulatedReplicaGroup cluster, String name) {
     this.cluster = cluster;
     this.world = cluster.world;
@@ -57,6 +65,10 @@
     return applied;
   }
 
+  String describe() {
+    return name + " running=" + running + " frozen=" + frozen + " " + group;
+  }
+
   ReplicaGroup group() {
     return group;
   }
@@ -72,8 +84,12 @@
       return;
     }
     running = true;
+    if (replacedMember != null) {
+      cluster.diskLossKnown(replacedMember, name);
+      replacedMember = null;
+    }
     incarnation++;
-    applied.clear();
+    clear();
     group = new ReplicaGroup(0, name, this, TIMEOUTS, this);
     for (int i = 0; i < log.size(); i++) {
       group.replay(decode(log.get(i)), i);
@@ -103,6 +119,9 @@
 
   private void sendBeacon(String recipient, long version, long point, long sentAtMicros) {
     SimulatedReplica secondary = cluster.members.get(recipient);
+    if (secondary == null) {
+      return; // Its disk was lost.
+    }
     cluster.transmit(
         name,
         recipient,
@@ -175,6 +194,9 @@
   public void send(String member, WireRecord message) {
     byte[] bytes = WireRecordCodec.encode(message);
     SimulatedReplica recipient = cluster.members.get(member);
+    if (recipient == null) {
+      return; // Its disk was lost.
+    }
     String address = GroupConfiguration.addressOf(name);
     cluster.transmit(
         name,
@@ -230,13 +252,20 @@
   @Override
   public void apply(WireRecord entry, long serial, long place) {
     long value = entry.number(VALUE);
-    applied.add(value);
+    add(value);
     cluster.checker.applied(name, serial, value);
   }
 
+  /** No commit, so that the checker of the history does not count it as one. */
+  @Override
+  public void applyPossiblyCommitted(WireRecord entry, long serial, long place) {
+    add(entry.number(VALUE));
+  }
+
   @Override
   public void clear() {
     applied.clear();
+    outdated.clear();
   }
 
   @Override
@@ -247,7 +276,29 @@
 
   @Override
   public void load(WireRecord piece, long place) {
-    applied.add(piece.number(VALUE));
+    add(piece.number(VALUE));
+  }
+
+  private void add(long value) {
+    if (!outdated.remove(value)) {
+      applied.add(value);
+    }
+  }
+
+  @Override
+  public void beginRefresh() {
+    outdated.clear();
+    outdated.addAll(applied);
+  }
+
+  @Override
+  public void finishRefresh() {
+    applied.removeIf(outdated::remove);
+  }
+
+  @Override
+  public void cancelRefresh() {
+    outdated.clear();
   }
 
   @Override
--- a/src/test/java/org/otterpond/replication/RecordingStateMachine.java
+++ b/src/test/java/org/otterpond/replication/RecordingStateMachine.java
@@ -35,6 +35,15 @@
     ids.add(piece.text(ID));
   }
 
+  @Override
+  public void beginRefresh() {}
+
+  @Override
+  public void finishRefresh() {}
+
+  @Override
+  public void cancelRefresh() {}
+
   @Override
   public void serving(boolean is) {}
 
