Let the delays and retentions of messages go on over a restart

A replica counted the delay and the retention of a message from the moment at which the entry was applied, so both began anew with each process; a message 34 s into a delay of 40 s ran 34 s late.

Change: timestamps of both clocks of the machine precede the records of a store's log (LogTimestamp, TimestampedSegmentStore); entries and pieces carry the time of their writing to the state machine, and ended messages too.

--- a/src/main/java/org/otterpond/messaging/Message.java
+++ b/src/main/java/org/otterpond/messaging/Message.java
@@ -45,37 +45,37 @@
   }
 
   /** Creates the message that was accepted with a serial number and stored at a position. */
-  static Message accepted(AcceptedMessage entry, long serial, long position, long nowMicros) {
+  static Message accepted(AcceptedMessage entry, long serial, long position, long writtenAtMicros) {
     Message message = new Message(entry.keys(), entry.destination());
     message.serial = serial;
     message.position = position;
-    message.dueAtMicros = nowMicros + entry.delayMicros();
-    message.retainUntilMicros = nowMicros + entry.retentionMicros();
+    message.dueAtMicros = writtenAtMicros + entry.delayMicros();
+    message.retainUntilMicros = writtenAtMicros + entry.retentionMicros();
     return message;
   }
 
   /** Creates a message of which only the end is known. */
-  static Message ended(EndedMessage entry, long nowMicros) {
+  static Message ended(EndedMessage entry, long writtenAtMicros) {
     Message message = new Message(entry.keys(), entry.destination());
-    message.dueAtMicros = nowMicros;
-    message.retainUntilMicros = nowMicros;
+    message.dueAtMicros = writtenAtMicros;
+    message.retainUntilMicros = writtenAtMicros;
     message.state = entry.state();
     message.serverSeal = entry.serverSeal();
-    message.endedAtMicros = nowMicros;
+    message.endedAtMicros = writtenAtMicros;
     return message;
   }
 
   /** Creates the message of a snapshot that was stored at a position. */
-  static Message restored(MessageSnapshot snapshot, long position, long nowMicros) {
+  static Message restored(MessageSnapshot snapshot, long position, long writtenAtMicros) {
     MessageProgress progress = snapshot.progress();
     Message message = new Message(snapshot.keys(), snapshot.destination());
     message.serial = progress.serial();
-    message.dueAtMicros = nowMicros + progress.delayMicros();
-    message.retainUntilMicros = nowMicros + progress.retentionMicros();
+    message.dueAtMicros = writtenAtMicros + progress.delayMicros();
+    message.retainUntilMicros = writtenAtMicros + progress.retentionMicros();
     message.state = progress.state();
     message.attempts = progress.attempts();
     message.serverSeal = progress.serverSeal();
-    message.endedAtMicros = nowMicros - progress.endedForMicros();
+    message.endedAtMicros = writtenAtMicros - progress.endedForMicros();
     message.position = snapshot.content() == null ? NO_POSITION : position;
     return message;
   }
--- a/src/main/java/org/otterpond/messaging/MessagePartition.java
+++ b/src/main/java/org/otterpond/messaging/MessagePartition.java
@@ -81,7 +81,7 @@
   // Entries that the group has committed.
 
   @Override
-  public void apply(WireRecord encoded, long serial, long position) {
+  public void apply(WireRecord encoded, long serial, long position, long writtenAtMicros) {
     MessageEntry entry;
     try {
       entry = MessageEntry.of(encoded);
@@ -90,15 +90,15 @@
       return;
     }
     if (entry instanceof AcceptedMessage accepted) {
-      accept(accepted, serial, position);
+      accept(accepted, serial, position, writtenAtMicros);
     } else if (entry instanceof FailedAttempt failed) {
       countAttempts(index.get(failed.id()), failed.attempts());
     } else if (entry instanceof EndedMessage ended) {
-      end(ended);
+      end(ended, writtenAtMicros);
     }
   }
 
-  private void accept(AcceptedMessage entry, long serial, long position) {
+  private void accept(AcceptedMessage entry, long serial, long position, long writtenAtMicros) {
     Message known = index.get(entry.keys().id());
     if (known != null && !outdated.remove(known)) {
       return;
@@ -106,7 +106,7 @@
     if (known != null) {
       remove(known);
     }
-    Message message = Message.accepted(entry, serial, position, runtime.now());
+    Message message = Message.accepted(entry, serial, position, writtenAtMicros);
     add(message);
     if (delivery.isActive()) {
       resources.cache().put(message, entry.content());
@@ -136,10 +136,10 @@
     }
   }
 
-  private void end(EndedMessage entry) {
+  private void end(EndedMessage entry, long writtenAtMicros) {
     Message message = index.get(entry.keys().id());
     if (message == null) {
-      add(Message.ended(entry, runtime.now()));
+      add(Message.ended(entry, writtenAtMicros));
       return;
     }
     boolean superseded = outdated.remove(message) && message.state != entry.state();
@@ -154,7 +154,7 @@
     }
     message.state = entry.state();
     message.serverSeal = entry.serverSeal();
-    message.endedAtMicros = runtime.now();
+    message.endedAtMicros = writtenAtMicros;
     index.ended(message);
     delivery.ended(message);
     if (message.state == MessageState.COMPLETED) {
@@ -304,7 +304,7 @@
   }
 
   @Override
-  public void load(WireRecord encoded, long position) {
+  public void load(WireRecord encoded, long position, long writtenAtMicros) {
     MessageSnapshot snapshot;
     try {
       snapshot = MessageSnapshot.of(encoded);
@@ -318,7 +318,7 @@
       known = null;
     }
     if (known == null) {
-      add(Message.restored(snapshot, position, runtime.now()));
+      add(Message.restored(snapshot, position, writtenAtMicros));
       return;
     }
     countAttempts(known, snapshot.progress().attempts());
--- a/src/main/java/org/otterpond/messaging/MessageStore.java
+++ b/src/main/java/org/otterpond/messaging/MessageStore.java
@@ -40,7 +40,7 @@
 
   private final NodeRuntime runtime;
   private final String member;
-  private final SegmentStore storage;
+  private final TimestampedSegmentStore storage;
   private final MessageStoreSettings settings;
   private final MessagePartition.Resources resources;
   private final Map<Integer, PartitionReplica> partitions = new TreeMap<>();
@@ -77,16 +77,16 @@
       DeliveryListener delivery) {
     this.runtime = runtime;
     this.member = member;
-    this.storage = storage;
+    this.storage = new TimestampedSegmentStore(storage, runtime);
     this.settings = settings;
     this.resources =
         new MessagePartition.Resources(
-            storage,
+            this.storage,
             delivery,
             new MessageBodyCache(settings.cacheBytes()),
             settings.endedRetentionMicros());
-    this.requests = new MessageRequests(partitions::get, storage);
-    this.cleaner = new SegmentCleaner(runtime, storage, settings.segmentRetentionMicros());
+    this.requests = new MessageRequests(partitions::get, this.storage);
+    this.cleaner = new SegmentCleaner(runtime, this.storage, settings.segmentRetentionMicros());
     this.strandedMessages = new StrandedMessageMonitor(runtime, delivery);
   }
 
@@ -144,8 +144,12 @@
 
   /** Takes in one record of the log; to be called for each in their order, before the start. */
   public void replay(WireRecord logRecord, long position) {
-    if (logRecord.has(GROUP)) {
-      partition((int) logRecord.number(GROUP)).group().replay(logRecord, position);
+    if (logRecord.kind().equals(LogTimestamp.KIND)) {
+      storage.replay(logRecord);
+    } else if (logRecord.has(GROUP)) {
+      partition((int) logRecord.number(GROUP))
+          .group()
+          .replay(logRecord, position, storage.replayedAtMicros());
     }
   }
 
@@ -156,7 +160,15 @@
   }
 
   /** Returns what a new segment must begin with, so that older ones can be dropped. */
-  public List<WireRecord> journalHead() {
+  public List<WireRecord> segmentHead() {
+    List<WireRecord> head = new ArrayList<>();
+    head.add(LogTimestamp.now(runtime).toWireRecord());
+    head.addAll(groupHeaders());
+    return head;
+  }
+
+  /** Returns the header of each group that this machine has completely. */
+  List<WireRecord> groupHeaders() {
     List<WireRecord> head = new ArrayList<>();
     for (PartitionReplica partition : partitions.values()) {
       WireRecord groupState = partition.group().meta();
--- a/src/main/java/org/otterpond/replication/CandidateRole.java
+++ b/src/main/java/org/otterpond/replication/CandidateRole.java
@@ -74,6 +74,7 @@
   }
 
   private void loadOnceDurable(WireRecord piece) {
+    long writtenAtMicros = replica.now();
     replica
         .runtime()
         .journal(
@@ -83,7 +84,7 @@
                 return;
               }
               if (position >= 0) {
-                replica.stateMachine().load(piece, position);
+                replica.stateMachine().load(piece, position, writtenAtMicros);
               } else {
                 replica.onWriteFailed();
               }
--- a/src/main/java/org/otterpond/replication/PreparedList.java
+++ b/src/main/java/org/otterpond/replication/PreparedList.java
@@ -53,10 +53,12 @@
 
   private static final class PendingEntry {
     private final WireRecord entry;
+    private final long writtenAtMicros;
     private long logPosition;
 
-    PendingEntry(WireRecord entry, long logPosition) {
+    PendingEntry(WireRecord entry, long writtenAtMicros, long logPosition) {
       this.entry = entry;
+      this.writtenAtMicros = writtenAtMicros;
       this.logPosition = logPosition;
     }
   }
@@ -99,7 +101,7 @@
    */
   void insert(WireRecord entry, long version, Runnable onDurable, Runnable onFailed) {
     long serial = ++lastSerial;
-    PendingEntry added = new PendingEntry(entry, NO_POSITION);
+    PendingEntry added = new PendingEntry(entry, runtime.now(), NO_POSITION);
     pending.put(serial, added);
     long insertedIn = generation;
     runtime.journal(
@@ -128,7 +130,7 @@
       PendingEntry next = pending.remove(committedPoint + 1);
       committedPoint++;
       if (next != null) {
-        stateMachine.apply(next.entry, committedPoint, next.logPosition);
+        stateMachine.apply(next.entry, committedPoint, next.logPosition, next.writtenAtMicros);
       }
     }
   }
@@ -139,7 +141,8 @@
         .headMap(durableSerial, true)
         .forEach(
             (serial, durable) ->
-                stateMachine.applyPossiblyCommitted(durable.entry, serial, durable.logPosition));
+                stateMachine.applyPossiblyCommitted(
+                    durable.entry, serial, durable.logPosition, durable.writtenAtMicros));
   }
 
   /** Removes all entries above a serial number. */
@@ -226,8 +229,12 @@
     replayAnchored = true;
   }
 
-  /** Replays an entry from the log. */
-  void replayEntry(GroupLogRecord.EntryPrepared prepared, long logPosition) {
+  /**
+   * Replays an entry from the log.
+   *
+   * @param writtenAtMicros when it was written, on the clock of this process
+   */
+  void replayEntry(GroupLogRecord.EntryPrepared prepared, long logPosition, long writtenAtMicros) {
     long serial = prepared.serial();
     if (serial <= committedPoint) {
       return;
@@ -238,7 +245,7 @@
     replayAnchored = true;
     startedAtHeader = false;
     pending.tailMap(serial, true).clear();
-    pending.put(serial, new PendingEntry(prepared.entry(), logPosition));
+    pending.put(serial, new PendingEntry(prepared.entry(), writtenAtMicros, logPosition));
     lastSerial = serial;
     durableSerial = serial;
     commit(prepared.committedPoint());
--- a/src/main/java/org/otterpond/replication/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replication/ReplicaGroup.java
@@ -358,10 +358,11 @@
    * Replays one record of the log; the records come in their order. A record of an unknown kind is
    * skipped.
    *
+   * @param writtenAtMicros when it was written, on the clock of this process
    * @throws IllegalStateException if a required field is missing
    */
-  public void replay(WireRecord encoded, long place) {
-    logReplay.replay(encoded, place);
+  public void replay(WireRecord encoded, long place, long writtenAtMicros) {
+    logReplay.replay(encoded, place, writtenAtMicros);
   }
 
   /** Begins the work of this process after the last record of the log was replayed. */
--- a/src/main/java/org/otterpond/replication/ReplicaLogReplay.java
+++ b/src/main/java/org/otterpond/replication/ReplicaLogReplay.java
@@ -21,10 +21,11 @@
   /**
    * Replays one record.
    *
+   * @param writtenAtMicros when it was written, on the clock of this process
    * @throws IllegalStateException if a required field is missing; the log then holds a record that
    *     no version of this code wrote, and to skip it could lose acknowledged entries
    */
-  void replay(WireRecord encoded, long logPosition) {
+  void replay(WireRecord encoded, long logPosition, long writtenAtMicros) {
     Optional<GroupLogRecord> logRecord;
     try {
       logRecord = GroupLogRecord.decode(encoded);
@@ -32,17 +33,17 @@
       throw new IllegalStateException("log record at " + logPosition, e);
     }
     if (logRecord.isPresent()) {
-      apply(logRecord.get(), logPosition);
+      apply(logRecord.get(), logPosition, writtenAtMicros);
     } else {
       replica.runtime().event("event=journal_record_skipped kind=" + encoded.kind());
     }
   }
 
-  private void apply(GroupLogRecord logRecord, long logPosition) {
+  private void apply(GroupLogRecord logRecord, long logPosition, long writtenAtMicros) {
     if (logRecord instanceof GroupLogRecord.EntryPrepared prepared) {
-      replica.preparedList().replayEntry(prepared, logPosition);
+      replica.preparedList().replayEntry(prepared, logPosition, writtenAtMicros);
     } else if (logRecord instanceof GroupLogRecord.PieceLoaded loaded) {
-      replica.stateMachine().load(loaded.piece(), logPosition);
+      replica.stateMachine().load(loaded.piece(), logPosition, writtenAtMicros);
     } else if (logRecord instanceof GroupLogRecord.ConfigurationAdopted adopted) {
       applyConfiguration(adopted.configuration());
     } else if (logRecord instanceof GroupLogRecord.ListReconciled reconciled) {
--- a/src/main/java/org/otterpond/replication/StateMachine.java
+++ b/src/main/java/org/otterpond/replication/StateMachine.java
@@ -13,8 +13,10 @@
    *
    * @param serial serial number of the entry
    * @param place position of the entry in the log of this node
+   * @param writtenAtMicros when this node wrote it to its log, on the clock of this process; before
+   *     its start if an earlier process did
    */
-  void apply(WireRecord entry, long serial, long place);
+  void apply(WireRecord entry, long serial, long place, long writtenAtMicros);
 
   /**
    * Applies a durable entry that may have been committed but is not known to be, as a copy that is
@@ -22,9 +24,11 @@
    *
    * @param serial serial number of the entry; the group may have used it for another one
    * @param place position of the entry in the log of this node
+   * @param writtenAtMicros when this node wrote it to its log, on the clock of this process
    */
-  default void applyPossiblyCommitted(WireRecord entry, long serial, long place) {
-    apply(entry, serial, place);
+  default void applyPossiblyCommitted(
+      WireRecord entry, long serial, long place, long writtenAtMicros) {
+    apply(entry, serial, place, writtenAtMicros);
   }
 
   /** Removes the whole state. */
@@ -39,8 +43,11 @@
   /**
    * Loads a piece of the state; a piece that is known already changes nothing, unless a refresh is
    * in progress and it was known before that began.
+   *
+   * @param place position of the piece in the log of this node
+   * @param writtenAtMicros when this node wrote it to its log, on the clock of this process
    */
-  void load(WireRecord piece, long place);
+  void load(WireRecord piece, long place, long writtenAtMicros);
 
   /**
    * Begins to replace the state piece by piece. Until the refresh ends, the present state stays
--- a/src/main/java/org/otterpond/runtime/NodeRuntime.java
+++ b/src/main/java/org/otterpond/runtime/NodeRuntime.java
@@ -14,6 +14,12 @@
   /** Monotonic time in microseconds. */
   long now();
 
+  /**
+   * Returns the time of day in microseconds since 1970. It differs from machine to machine and may
+   * jump in either direction, so it only bridges the time in which a process did not run.
+   */
+  long timeOfDayMicros();
+
   /** Sends a message; it may be lost, but is never damaged. */
   void send(String address, WireRecord message);
 
--- a/src/main/java/org/otterpond/server/MessageStoreServer.java
+++ b/src/main/java/org/otterpond/server/MessageStoreServer.java
@@ -50,7 +50,7 @@
       DiskPreparation.run(() -> log.begin(List.of(SegmentedLogWriter.identity(newDiskId))));
       createStore(newDiskId);
     }
-    logWriter.open(diskId, store::journalHead);
+    logWriter.open(diskId, store::segmentHead);
   }
 
   /** Returns the identity of the disk. */
--- a/src/main/java/org/otterpond/server/ProductionRuntime.java
+++ b/src/main/java/org/otterpond/server/ProductionRuntime.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.otterpond.net.EventLoop;
 import org.otterpond.net.PeerTransport;
@@ -49,6 +50,11 @@
     return EventLoop.now();
   }
 
+  @Override
+  public long timeOfDayMicros() {
+    return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+  }
+
   @Override
   public void send(String address, WireRecord message) {
     transport.send(address, message);
--- a/src/main/java/org/otterpond/simulation/MessageInvariantChecker.java
+++ b/src/main/java/org/otterpond/simulation/MessageInvariantChecker.java
@@ -41,6 +41,7 @@
     private final String body;
     private long acceptedMicros = NOT_ACCEPTED;
     private boolean rejected;
+    private boolean started;
 
     /** Whether it has succeeded, was rejected by a worker or has failed too often. */
     private boolean ended;
@@ -119,6 +120,7 @@
       addViolation("a worker gets what nobody sent: " + id);
       return;
     }
+    message.started = true;
     if (message.rejected) {
       addViolation("REJECTED " + id + " runs though it was rejected");
     }
@@ -169,6 +171,15 @@
     message.ended |= message.failures >= maxAttempts;
   }
 
+  /** Checks that every accepted message was started that fell due so long ago, or longer. */
+  void checkStartedWithin(long micros) {
+    for (SentMessage message : accepted.values()) {
+      if (!message.started && message.notBeforeMicros + micros < world.now()) {
+        addViolation("LATE " + message.id + " has not started");
+      }
+    }
+  }
+
   /** Checks that every accepted message has ended, long after the last fault and the last send. */
   void checkAllEnded() {
     for (SentMessage message : accepted.values()) {
--- a/src/main/java/org/otterpond/simulation/SimulatedNode.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedNode.java
@@ -53,6 +53,9 @@
   /** Whether a message of the node to itself skips the network, as in the production server. */
   boolean localDelivery;
 
+  /** How far the time of day of this machine is off; a clock that jumps changes it. */
+  long clockErrorMicros;
+
   /** The least time that work off the owner thread takes, in microseconds. */
   long backgroundWorkMicros;
 
--- a/src/main/java/org/otterpond/simulation/SimulatedProducers.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedProducers.java
@@ -47,6 +47,15 @@
     running = false;
   }
 
+  /** Sends messages that are not to run before a delay is over. */
+  void sendDelayed(int count, long delayMicros) {
+    for (int i = 0; i < count; i++) {
+      SimulatedNode edge = cluster.randomRunningNode();
+      String idempotencyKey = "delayed" + ++lastNumber;
+      edge.perform(() -> send(edge, null, idempotencyKey, delayMicros));
+    }
+  }
+
   private void sendNext() {
     if (!running) {
       return;
--- a/src/main/java/org/otterpond/simulation/SimulatedReplica.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedReplica.java
@@ -92,7 +92,7 @@
     clear();
     group = new ReplicaGroup(0, name, this, TIMEOUTS, this);
     for (int i = 0; i < log.size(); i++) {
-      group.replay(decode(log.get(i)), i);
+      group.replay(decode(log.get(i)), i, now());
     }
     group.replayed();
     perform(() -> group.learn(cluster.installed()));
@@ -250,7 +250,7 @@
   // State machine: a register that keeps all values written to it.
 
   @Override
-  public void apply(WireRecord entry, long serial, long place) {
+  public void apply(WireRecord entry, long serial, long place, long writtenAtMicros) {
     long value = entry.number(VALUE);
     add(value);
     cluster.checker.applied(name, serial, value);
@@ -258,7 +258,8 @@
 
   /** No commit, so that the checker of the history does not count it as one. */
   @Override
-  public void applyPossiblyCommitted(WireRecord entry, long serial, long place) {
+  public void applyPossiblyCommitted(
+      WireRecord entry, long serial, long place, long writtenAtMicros) {
     add(entry.number(VALUE));
   }
 
@@ -275,7 +276,7 @@
   }
 
   @Override
-  public void load(WireRecord piece, long place) {
+  public void load(WireRecord piece, long place, long writtenAtMicros) {
     add(piece.number(VALUE));
   }
 
--- a/src/main/java/org/otterpond/simulation/SimulatedRuntime.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedRuntime.java
@@ -122,6 +122,11 @@
     return world.now();
   }
 
+  @Override
+  public long timeOfDayMicros() {
+    return world.now() + machine.clockErrorMicros;
+  }
+
   @Override
   public void send(String to, WireRecord message) {
     if (machine.localDelivery && to.equals(machine.address)) {
--- a/src/main/java/org/otterpond/tools/HollowNode.java
+++ b/src/main/java/org/otterpond/tools/HollowNode.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.otterpond.config.GatewayConfiguration;
 import org.otterpond.control.agent.ControlPlaneAgent;
@@ -168,6 +169,11 @@
     return EventLoop.now();
   }
 
+  @Override
+  public long timeOfDayMicros() {
+    return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+  }
+
   @Override
   public void send(String to, WireRecord message) {
     countMessage(message);
--- a/src/test/java/org/otterpond/control/agent/RecordingRuntime.java
+++ b/src/test/java/org/otterpond/control/agent/RecordingRuntime.java
@@ -50,6 +50,11 @@
     return clock.now();
   }
 
+  @Override
+  public long timeOfDayMicros() {
+    return clock.timeOfDayMicros();
+  }
+
   @Override
   public void send(String address, WireRecord message) {
     sent.add(new Sent(address, message));
--- a/src/test/java/org/otterpond/control/epoch/BandwidthLimitedCore.java
+++ b/src/test/java/org/otterpond/control/epoch/BandwidthLimitedCore.java
@@ -179,6 +179,11 @@
       return now;
     }
 
+    @Override
+    public long timeOfDayMicros() {
+      return now;
+    }
+
     @Override
     public void send(String address, WireRecord message) {
       byte[] bytes = WireRecordCodec.encode(message);
--- a/src/test/java/org/otterpond/control/epoch/ManualRuntime.java
+++ b/src/test/java/org/otterpond/control/epoch/ManualRuntime.java
@@ -22,6 +22,12 @@
   private final List<String> events = new ArrayList<>();
   private long now = 1_000_000_000L;
   private long timerCount;
+  private long clockErrorMicros;
+
+  /** Lets the time of day jump. */
+  public void jumpTimeOfDay(long micros) {
+    clockErrorMicros += micros;
+  }
 
   /** Runs what is due within this time, in its order. */
   public void run(long micros) {
@@ -49,6 +55,11 @@
     return now;
   }
 
+  @Override
+  public long timeOfDayMicros() {
+    return now + clockErrorMicros;
+  }
+
   @Override
   public void send(String address, WireRecord message) {
     sent.add(message);
--- a/src/test/java/org/otterpond/messaging/DeliveryStagesTest.java
+++ b/src/test/java/org/otterpond/messaging/DeliveryStagesTest.java
@@ -73,7 +73,7 @@
             Messages.content(1),
             delayMicros,
             RETENTION_MICROS);
-    partition.apply(entry.toWireRecord(), ++lastSerial, 0);
+    partition.apply(entry.toWireRecord(), ++lastSerial, 0, runtime.now());
     return partition.get(id);
   }
 
@@ -88,7 +88,7 @@
             MessageState.COMPLETED,
             "seal",
             new MessageDestination("host", "/x", 1));
-    partition.apply(entry.toWireRecord(), ++lastSerial, 0);
+    partition.apply(entry.toWireRecord(), ++lastSerial, 0, runtime.now());
   }
 
   private int countStranded(boolean updatesPending) {
--- a/src/test/java/org/otterpond/messaging/LeaseExpiryDeliveryTest.java
+++ b/src/test/java/org/otterpond/messaging/LeaseExpiryDeliveryTest.java
@@ -140,7 +140,7 @@
             Messages.content(1),
             delayMicros,
             90_000_000);
-    partition.apply(entry.toWireRecord(), 1, 0);
+    partition.apply(entry.toWireRecord(), 1, 0, runtime.now());
   }
 
   private void renewLease() {
--- a/src/test/java/org/otterpond/messaging/MessageStoreFixtureTest.java
+++ b/src/test/java/org/otterpond/messaging/MessageStoreFixtureTest.java
@@ -196,7 +196,7 @@
 
   /** Group, version and committed serial number of each group that this store is a member of. */
   private List<String> groups() {
-    return store.journalHead().stream()
+    return store.groupHeaders().stream()
         .map(
             meta ->
                 meta.number("group")
--- a/src/test/java/org/otterpond/replication/RecordingStateMachine.java
+++ b/src/test/java/org/otterpond/replication/RecordingStateMachine.java
@@ -16,7 +16,7 @@
   }
 
   @Override
-  public void apply(WireRecord entry, long serial, long place) {
+  public void apply(WireRecord entry, long serial, long place, long writtenAtMicros) {
     ids.add(entry.text(ID));
   }
 
@@ -31,7 +31,7 @@
   }
 
   @Override
-  public void load(WireRecord piece, long place) {
+  public void load(WireRecord piece, long place, long writtenAtMicros) {
     ids.add(piece.text(ID));
   }
 
--- a/src/test/java/org/otterpond/replication/RestartAfterCleaningTest.java
+++ b/src/test/java/org/otterpond/replication/RestartAfterCleaningTest.java
@@ -30,7 +30,7 @@
 
   private void replay(Encodable... records) {
     for (Encodable logRecord : records) {
-      replica.replay(logRecord.toWireRecord(), logPosition++);
+      replica.replay(logRecord.toWireRecord(), logPosition++, 0);
     }
   }
 
--- a/src/test/java/org/otterpond/simulation/DiskLossDuringOutageTest.java
+++ b/src/test/java/org/otterpond/simulation/DiskLossDuringOutageTest.java
@@ -161,7 +161,7 @@
         group.loseDisk(member);
         disksLost++;
       } else {
-        takeDown(group, member);
+        takeDownReplica(group, member);
       }
       group.world.run(group.world.random.nextInt(1_800_000));
       if (group.world.random.nextInt(3) == 0) {
@@ -171,7 +171,7 @@
     }
   }
 
-  private static void takeDown(SimulatedReplicaGroup group, SimulatedReplica member) {
+  private static void takeDownReplica(SimulatedReplicaGroup group, SimulatedReplica member) {
     switch (group.world.random.nextInt(5)) {
       case 0 -> member.kill(false);
       case 1 -> member.kill(true);
--- a/src/test/java/org/otterpond/simulation/MessageFixture.java
+++ b/src/test/java/org/otterpond/simulation/MessageFixture.java
@@ -37,6 +37,20 @@
         checker.accepted.isEmpty(), () -> "no message is accepted\n" + cluster.recentEvents());
   }
 
+  /** Ends the traffic; what is in flight is accepted or rejected afterwards. */
+  void stopTraffic() {
+    producers.stop();
+    world.run(2 * SECOND_MICROS);
+  }
+
+  /** Sends messages that are not to run before a delay is over; they are accepted soon after. */
+  void sendDelayed(int count, long delayMicros) {
+    int before = checker.accepted.size();
+    producers.sendDelayed(count, delayMicros);
+    world.run(SECOND_MICROS);
+    assertEquals(before + count, checker.accepted.size(), cluster::recentEvents);
+  }
+
   /**
    * Ends all faults and asserts that every accepted message has ended and its end is stored, and
    * that no node found one that nothing would move on.
