Storage: each segment has its own age; rewritten entries survive a loss of power

A segment counted as closed only from the moment at which it became the oldest, so one was removed in each retention time. The replay of the first rewritten entry cleared the durable ones behind it. Met on the way: the oldest segment could go before the rewritten entries were durable. Change: SegmentAges; an entry that is listed with the same content is taken as rewritten; the cleaning waits for the rewritten entries (RewriteListener).

--- a/src/main/java/org/otterpond/messaging/SegmentCleaner.java
+++ b/src/main/java/org/otterpond/messaging/SegmentCleaner.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import org.otterpond.messaging.message.MessageContent;
 import org.otterpond.protocol.WireRecord;
+import org.otterpond.replication.RewriteListener;
 import org.otterpond.runtime.NodeRuntime;
 import org.otterpond.storage.SegmentStore;
 
@@ -38,7 +39,7 @@
     Run run = new Run();
     long segmentEnd = storage.oldestEnd();
     for (PartitionReplica partition : partitions) {
-      partition.group().rewriteUncommitted();
+      partition.group().rewriteUncommitted(run);
       for (Message message : partition.messages().storedBefore(segmentEnd)) {
         run.begun();
         partition.messages().whole(message, content -> rewrite(run, partition, message, content));
@@ -65,15 +66,17 @@
   }
 
   /** Counts the steps of one cleaning; the segment is dropped if all of them succeeded. */
-  private final class Run {
+  private final class Run implements RewriteListener {
     private int open = 1;
     private boolean succeeded = true;
 
-    void begun() {
+    @Override
+    public void begun() {
       open++;
     }
 
-    void ended(boolean success) {
+    @Override
+    public void ended(boolean success) {
       succeeded &= success;
       open--;
       if (open == 0) {
--- a/src/main/java/org/otterpond/replication/PreparedList.java
+++ b/src/main/java/org/otterpond/replication/PreparedList.java
@@ -1,10 +1,12 @@
 package org.otterpond.replication;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.otterpond.protocol.WireRecord;
+import org.otterpond.protocol.WireRecordCodec;
 
 /**
  * The prepared list of one replica and its committed point (PacificA, section "Primary/Backup Data
@@ -61,6 +63,10 @@
       this.writtenAtMicros = writtenAtMicros;
       this.logPosition = logPosition;
     }
+
+    boolean contains(WireRecord other) {
+      return Arrays.equals(WireRecordCodec.encode(entry), WireRecordCodec.encode(other));
+    }
   }
 
   PreparedList(int group, ReplicaGroupRuntime runtime, StateMachine stateMachine) {
@@ -209,10 +215,15 @@
     lastSerialBeforeRefresh = 0;
   }
 
-  /** Writes the uncommitted entries again, so that the beginning of the log can be removed. */
-  void rewriteUncommitted(long version) {
+  /**
+   * Writes the uncommitted entries again, so that the beginning of the log can be removed.
+   *
+   * @param done notified of the beginning and the end of each write
+   */
+  void rewriteUncommitted(long version, RewriteListener done) {
     for (Map.Entry<Long, PendingEntry> listed : new ArrayList<>(pending.entrySet())) {
       PendingEntry uncommitted = listed.getValue();
+      done.begun();
       runtime.journal(
           new GroupLogRecord.EntryPrepared(
               group, version, listed.getKey(), committedPoint, uncommitted.entry),
@@ -220,6 +231,7 @@
             if (position >= 0) {
               uncommitted.logPosition = position;
             }
+            done.ended(position >= 0);
           });
     }
   }
@@ -239,6 +251,14 @@
     if (serial <= committedPoint) {
       return;
     }
+    PendingEntry listed = pending.get(serial);
+    if (listed != null && listed.contains(prepared.entry())) {
+      // It was rewritten by the cleaning, which a loss of power may have ended: what follows
+      // counts.
+      listed.logPosition = logPosition;
+      commit(prepared.committedPoint());
+      return;
+    }
     if (serial > lastSerial + 1) {
       replayMissingEntries(serial);
     }
--- a/src/main/java/org/otterpond/replication/ReplicaGroup.java
+++ b/src/main/java/org/otterpond/replication/ReplicaGroup.java
@@ -402,9 +402,13 @@
         : Optional.empty();
   }
 
-  /** Writes the uncommitted entries again, so that the oldest segment can be removed. */
-  public void rewriteUncommitted() {
-    replica.preparedList().rewriteUncommitted(replica.configuration().version());
+  /**
+   * Writes the uncommitted entries again, so that the oldest segment can be removed.
+   *
+   * @param listener notified of the beginning and the end of each write
+   */
+  public void rewriteUncommitted(RewriteListener listener) {
+    replica.preparedList().rewriteUncommitted(replica.configuration().version(), listener);
   }
 
   /** Returns one line for logs and failed tests. */
--- a/src/main/java/org/otterpond/storage/SegmentedLogWriter.java
+++ b/src/main/java/org/otterpond/storage/SegmentedLogWriter.java
@@ -40,7 +40,7 @@
   /** As the disk thread last reported it. */
   private LogStatus status = new LogStatus(0, 0, false, 0, 0);
 
-  private long oldestClosedAtMicros;
+  private final SegmentAges ages = new SegmentAges();
 
   /** The state of the log after a task on the disk thread. */
   private record LogStatus(
@@ -85,7 +85,6 @@
   public void open(String diskId, Supplier<List<WireRecord>> segmentHead) {
     this.diskId = diskId;
     this.segmentHead = segmentHead;
-    oldestClosedAtMicros = nowMicros();
     update(currentStatus());
   }
 
@@ -104,12 +103,7 @@
   }
 
   private void update(LogStatus current) {
-    boolean segmentsChanged = status.newest != current.newest || status.oldest != current.oldest;
-    boolean oldestJustClosed = status.oldest != current.oldest || status.oldest == status.newest;
-    if (segmentsChanged && oldestJustClosed) {
-      // The oldest segment was closed when the next was begun, or before this process started.
-      oldestClosedAtMicros = nowMicros();
-    }
+    ages.update(current.oldest, current.newest, nowMicros());
     status = current;
   }
 
@@ -148,7 +142,7 @@
 
   @Override
   public boolean oldestClosedFor(long micros) {
-    return status.newest > status.oldest && nowMicros() - oldestClosedAtMicros > micros;
+    return ages.isOldestClosedFor(micros, nowMicros());
   }
 
   @Override
--- a/src/test/java/org/otterpond/replication/RestartAfterCleaningTest.java
+++ b/src/test/java/org/otterpond/replication/RestartAfterCleaningTest.java
@@ -88,6 +88,19 @@
     assertNull(replica.view());
   }
 
+  /** A loss of power ended the rewriting of uncommitted entries after the first one. */
+  @Test
+  void givenUncommittedEntries_whenOnlyTheFirstWasRewritten_thenTheOthersAreKept() {
+    replay(header(50), prepared(51, 50), prepared(52, 50), prepared(53, 50), prepared(51, 50));
+    replay(prepared(54, 53));
+
+    replica.replayed();
+
+    assertTrue(replica.isInvolved());
+    assertEquals(53, replica.committed());
+    assertEquals(List.of("e51", "e52", "e53"), state.ids);
+  }
+
   /** A write that the disk refused is missing, whatever a later header says. */
   @Test
   void givenEntryMissingInTheMiddle_whenLaterHeaderCoversIt_thenReplicaIsDropped() {
