--- a/src/main/java/org/otterpond/replication/PreparedList.java
+++ b/src/main/java/org/otterpond/replication/PreparedList.java
@@ -64,6 +64,10 @@
       this.logPosition = logPosition;
     }
 
+    WireRecord withAge(long nowMicros) {
+      return new AgedEntry(entry, nowMicros - writtenAtMicros).toWireRecord();
+    }
+
     boolean contains(WireRecord other) {
       return Arrays.equals(WireRecordCodec.encode(entry), WireRecordCodec.encode(other));
     }
@@ -90,28 +94,35 @@
     return committedPoint;
   }
 
-  /** Returns the uncommitted entries after a serial number, at most {@code limit} of them. */
+  /**
+   * Returns the uncommitted entries after a serial number, at most {@code limit} of them, each with
+   * its age.
+   */
   List<WireRecord> entriesAfter(long serial, int limit) {
+    long nowMicros = runtime.now();
     return pending.tailMap(serial, false).values().stream()
         .limit(limit)
-        .map(pendingEntry -> pendingEntry.entry)
+        .map(pendingEntry -> pendingEntry.withAge(nowMicros))
         .toList();
   }
 
   /**
    * Adds the next entry.
    *
+   * @param encoded the entry, which carries its age if another node wrote it before
    * @param version version of the configuration under which it is prepared
    * @param onDurable run once the entry is durable, unless it was removed meanwhile
    * @param onFailed run if the write failed
    */
-  void insert(WireRecord entry, long version, Runnable onDurable, Runnable onFailed) {
+  void insert(WireRecord encoded, long version, Runnable onDurable, Runnable onFailed) {
     long serial = ++lastSerial;
-    PendingEntry added = new PendingEntry(entry, runtime.now(), NO_POSITION);
+    AgedEntry aged = AgedEntry.of(encoded);
+    PendingEntry added =
+        new PendingEntry(aged.entry(), runtime.now() - aged.ageMicros(), NO_POSITION);
     pending.put(serial, added);
     long insertedIn = generation;
     runtime.journal(
-        new GroupLogRecord.EntryPrepared(group, version, serial, committedPoint, entry),
+        new GroupLogRecord.EntryPrepared(group, version, serial, committedPoint, encoded),
         position -> {
           if (position < 0) {
             onFailed.run();
@@ -226,7 +237,7 @@
       done.begun();
       runtime.journal(
           new GroupLogRecord.EntryPrepared(
-              group, version, listed.getKey(), committedPoint, uncommitted.entry),
+              group, version, listed.getKey(), committedPoint, uncommitted.withAge(runtime.now())),
           position -> {
             if (position >= 0) {
               uncommitted.logPosition = position;
@@ -251,8 +262,9 @@
     if (serial <= committedPoint) {
       return;
     }
+    AgedEntry aged = AgedEntry.of(prepared.entry());
     PendingEntry listed = pending.get(serial);
-    if (listed != null && listed.contains(prepared.entry())) {
+    if (listed != null && listed.contains(aged.entry())) {
       // It was rewritten by the cleaning, which a loss of power may have ended: what follows
       // counts.
       listed.logPosition = logPosition;
@@ -265,7 +277,8 @@
     replayAnchored = true;
     startedAtHeader = false;
     pending.tailMap(serial, true).clear();
-    pending.put(serial, new PendingEntry(prepared.entry(), writtenAtMicros, logPosition));
+    pending.put(
+        serial, new PendingEntry(aged.entry(), writtenAtMicros - aged.ageMicros(), logPosition));
     lastSerial = serial;
     durableSerial = serial;
     commit(prepared.committedPoint());
--- a/src/test/java/org/otterpond/simulation/DelaysOverRestartTest.java
+++ b/src/test/java/org/otterpond/simulation/DelaysOverRestartTest.java
@@ -99,6 +99,29 @@
     assertStartedInTime(messages);
   }
 
+  /** After a restart the newest entries are reconciled anew, then other replicas take over. */
+  @ParameterizedTest
+  @ValueSource(longs = {85, 86, 87})
+  void givenDelayedMessages_whenAllRestartAndThenOthersLead_thenTheyStartInTime(long seed) {
+    MessageFixture messages = withDelayedMessages(seed);
+    List<SimulatedNode> stores = messages.cluster.storageNodes;
+
+    messages.world.run(12 * SECOND_MICROS);
+    stores.forEach(SimulatedNode::kill);
+    messages.world.run(SECOND_MICROS);
+    ClusterFixture.resumeAndStart(stores);
+    messages.world.run(2 * SECOND_MICROS);
+    for (SimulatedNode store : stores) {
+      store.kill();
+      messages.world.run(SECOND_MICROS);
+      store.start();
+      messages.world.run(SECOND_MICROS / 2);
+    }
+    messages.world.run(2 * SECOND_MICROS + LATENESS_MICROS);
+
+    assertStartedInTime(messages);
+  }
+
   @Test
   void givenDelayedMessages_whenAllAreDownForLongerThanTheDelay_thenTheyStartAtOnce() {
     MessageFixture messages = withDelayedMessages(91);
