Read the change again: no work in hot paths, one collector of offers in tests

Cause: each replayed record read both clocks, each group commit walked all segments, each question for the replication factor built a list of members; two branches and two resets of PreparedList had the same body; three tests had the same DeliveryListener; a comment named the wrong mechanism. Change: the time of the records is computed once for each timestamp; segment ages are updated when the segments change; OfferCollector is a class of its own. No assertion is changed.

--- a/src/main/java/org/otterpond/messaging/TimestampedSegmentStore.java
+++ b/src/main/java/org/otterpond/messaging/TimestampedSegmentStore.java
@@ -21,18 +21,21 @@
   /** The last timestamp of this process, or null. */
   private LogTimestamp written;
 
-  /** The last timestamp that was replayed, or null. */
-  private LogTimestamp replayed;
+  private long replayedAtMicros;
 
   TimestampedSegmentStore(SegmentStore log, NodeRuntime runtime) {
     this.log = log;
     this.runtime = runtime;
+    this.replayedAtMicros = runtime.now();
   }
 
   /** Takes in a timestamp of the log. */
   void replay(WireRecord encoded) {
     try {
-      replayed = LogTimestamp.of(encoded);
+      LogTimestamp present = LogTimestamp.now(runtime);
+      long elapsedMicros = LogTimestamp.of(encoded).elapsedMicros(present);
+      replayedAtMicros =
+          present.steadyMicros() - Math.max(0, elapsedMicros - TIMESTAMP_INTERVAL_MICROS);
     } catch (ProtocolException e) {
       runtime.event("event=journal_record_skipped kind=" + encoded.kind());
     }
@@ -41,15 +44,10 @@
   /**
    * Returns when the records after the last replayed timestamp were written, on the clock of this
    * process: up to the interval of the timestamps later than they were, never earlier. Without a
-   * timestamp that is now.
+   * timestamp that is the start of this process.
    */
   long replayedAtMicros() {
-    long nowMicros = runtime.now();
-    if (replayed == null) {
-      return nowMicros;
-    }
-    long elapsedMicros = replayed.elapsedMicros(LogTimestamp.now(runtime));
-    return nowMicros - Math.max(0, elapsedMicros - TIMESTAMP_INTERVAL_MICROS);
+    return replayedAtMicros;
   }
 
   @Override
--- a/src/main/java/org/otterpond/replication/GroupConfiguration.java
+++ b/src/main/java/org/otterpond/replication/GroupConfiguration.java
@@ -192,7 +192,7 @@
 
   /** Returns whether there are as many members as must hold an update before it is acknowledged. */
   public boolean isFullyReplicated() {
-    return members().size() >= replicationFactor;
+    return 1 + secondaries.size() >= replicationFactor;
   }
 
   /** Returns whether a replica that is no member must keep its copy. */
--- a/src/main/java/org/otterpond/replication/PreparedList.java
+++ b/src/main/java/org/otterpond/replication/PreparedList.java
@@ -180,10 +180,7 @@
    */
   void reset(long point) {
     continueAfter(point);
-    endRefresh();
-    replayAnchored = true;
-    unprovenSerial = 0;
-    gap = false;
+    finishRefresh();
   }
 
   private void continueAfter(long point) {
@@ -285,11 +282,9 @@
   }
 
   private void replayMissingEntries(long nextSerial) {
-    if (startedAtHeader) {
-      // The entries between were committed before the segment that contained them was removed.
-      continueAfter(nextSerial - 1);
-    } else if (refreshing) {
-      // A transfer whose write was refused never ends; the state before it is not affected.
+    if (startedAtHeader || refreshing) {
+      // After a header the entries between were committed before their segment was removed. In a
+      // refresh their write was refused: it never ends, and the state before it is not affected.
       continueAfter(nextSerial - 1);
     } else if (replayAnchored) {
       gap = true;
--- a/src/main/java/org/otterpond/simulation/SimulatedReplicaGroup.java
+++ b/src/main/java/org/otterpond/simulation/SimulatedReplicaGroup.java
@@ -217,7 +217,7 @@
    * Ends a member's process and replaces its disk by an empty one: it is another member then, which
    * is wanted in its place. The manager knows of the loss once the process runs again.
    */
-  SimulatedReplica loseDisk(SimulatedReplica member) {
+  void loseDisk(SimulatedReplica member) {
     world.logEvent(member.name, "event=disk_lost");
     member.kill(false);
     members.remove(member.name);
@@ -227,7 +227,6 @@
     SimulatedReplica successor = new SimulatedReplica(this, name);
     successor.replacedMember = member.name;
     members.put(name, successor);
-    return successor;
   }
 
   /** The process on an empty disk has begun to run. */
--- a/src/main/java/org/otterpond/storage/SegmentedLogWriter.java
+++ b/src/main/java/org/otterpond/storage/SegmentedLogWriter.java
@@ -103,7 +103,9 @@
   }
 
   private void update(LogStatus current) {
-    ages.update(current.oldest, current.newest, nowMicros());
+    if (status.newest != current.newest || status.oldest != current.oldest) {
+      ages.update(current.oldest, current.newest, nowMicros());
+    }
     status = current;
   }
 
--- a/src/test/java/org/otterpond/messaging/InterruptedWritesTest.java
+++ b/src/test/java/org/otterpond/messaging/InterruptedWritesTest.java
@@ -47,22 +47,9 @@
   private final List<WireRecord> replies = new ArrayList<>();
   private MessageStore store;
 
-  private final class OfferCollector implements DeliveryListener {
-    @Override
-    public void ready(MessagePartition partition, Message message) {
-      offered.add(message);
-      partitions.put(GROUP, partition);
-    }
-
-    @Override
-    public void stop(MessagePartition partition, Runnable quiet) {
-      quiet.run();
-    }
-
-    @Override
-    public Map<MessagePartition, Integer> countByPartition() {
-      return Map.of();
-    }
+  private void collect(MessagePartition partition, Message message) {
+    offered.add(message);
+    partitions.put(GROUP, partition);
   }
 
   @BeforeEach
@@ -77,7 +64,7 @@
             new InMemorySegmentStore(log, runtime),
             new MessageStoreSettings(
                 RETENTION_MICROS, RETENTION_MICROS, 1 << 20, ReplicaGroupTimeouts.standard()),
-            new OfferCollector());
+            new OfferCollector(this::collect));
     store.fit(AgentWithoutCore.create(runtime, ADDRESS, "d1"));
     store.start();
     install(1, MEMBER);
--- a/src/test/java/org/otterpond/messaging/LeaseExpiryDeliveryTest.java
+++ b/src/test/java/org/otterpond/messaging/LeaseExpiryDeliveryTest.java
@@ -72,7 +72,7 @@
 
   /**
    * Runs a step on the owner thread, then the rounds of the event loop that follow from it. Each
-   * round is a timer: tasks alone may all run before the timers that the step has set.
+   * round is a task of the loop's own: tasks from here may all run before those of the step.
    */
   private void onOwnerThread(Step step) throws Exception {
     List<Step> rounds = List.of(step, () -> {}, () -> {}, () -> {});
--- a/src/test/java/org/otterpond/messaging/MessageStoreFixtureTest.java
+++ b/src/test/java/org/otterpond/messaging/MessageStoreFixtureTest.java
@@ -72,29 +72,16 @@
             disk,
             new MessageStoreSettings(
                 STATUS_MICROS, KEY_WINDOW_MICROS, 0, ReplicaGroupTimeouts.standard()),
-            new OfferCollector());
+            new OfferCollector(this::collect));
     store.fit(AgentWithoutCore.create(runtime, ADDRESS, DISK));
     log.open(store::replay);
     assertTrue(log.sound());
     store.start();
   }
 
-  private final class OfferCollector implements DeliveryListener {
-    @Override
-    public void ready(MessagePartition partition, Message message) {
-      offered.add(message.id());
-      partitions.put(message.id().substring(0, 1), partition);
-    }
-
-    @Override
-    public void stop(MessagePartition partition, Runnable quiet) {
-      quiet.run();
-    }
-
-    @Override
-    public Map<MessagePartition, Integer> countByPartition() {
-      return Map.of();
-    }
+  private void collect(MessagePartition partition, Message message) {
+    offered.add(message.id());
+    partitions.put(message.id().substring(0, 1), partition);
   }
 
   /** Makes the store the only member of each group, so that it serves all of them. */
--- a/src/test/java/org/otterpond/messaging/MessageStoreRestartTest.java
+++ b/src/test/java/org/otterpond/messaging/MessageStoreRestartTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,23 +50,6 @@
   private InMemorySegmentStore disk;
   private MessageStore store;
 
-  private final class OfferCollector implements DeliveryListener {
-    @Override
-    public void ready(MessagePartition partition, Message message) {
-      offered.add(message.id());
-    }
-
-    @Override
-    public void stop(MessagePartition partition, Runnable quiet) {
-      quiet.run();
-    }
-
-    @Override
-    public Map<MessagePartition, Integer> countByPartition() {
-      return Map.of();
-    }
-  }
-
   @BeforeEach
   void createEmptyDisk() throws StorageException {
     log = new SegmentedLog(directory);
@@ -87,7 +69,7 @@
             disk,
             new MessageStoreSettings(
                 STATUS_MICROS, KEY_WINDOW_MICROS, 0, ReplicaGroupTimeouts.standard()),
-            new OfferCollector());
+            new OfferCollector((partition, message) -> offered.add(message.id())));
     store.fit(AgentWithoutCore.create(runtime, ADDRESS, DISK));
     log.open(store::replay);
     store.start();
