A worker that becomes cold while it serves is announced to all nodes

Cause: WorkerInstance.changesRoutingOf left the slow start out. A heartbeat of a known worker that says that it is in slow start again changed nothing for routing: neither the node that took it nor the primary passed it on, and every node went on to send at the full weight. The class: a change of what routing reads that no comparison covers. The end of a slow start was also "now" for a warm worker, another value in each heartbeat, so that no comparison could have told one from the other. Change: the end is 0 where none is left; a later end is a change of routing, and a heartbeat that brings one goes to the primary at once, as that of a new worker does. Evidence: SlowStartPropagationTest failed before (every node took the worker for warm) and passes now.

--- a/src/main/java/org/otterpond/control/agent/HeartbeatForwarder.java
+++ b/src/main/java/org/otterpond/control/agent/HeartbeatForwarder.java
@@ -60,9 +60,8 @@
     } else if (outOfTouch.getAsBoolean()) {
       acknowledged.accept(false);
     } else {
-      boolean isNew = roster.get(worker.id()) == null;
-      roster.merge(worker);
-      addToBatch(worker, isNew);
+      boolean urgent = roster.merge(worker);
+      addToBatch(worker, urgent);
       acknowledged.accept(true);
     }
   }
--- a/src/main/java/org/otterpond/control/agent/WorkerRoster.java
+++ b/src/main/java/org/otterpond/control/agent/WorkerRoster.java
@@ -39,12 +39,16 @@
     return workers.get(id);
   }
 
-  /** Merges what is known of one instance with an update. */
-  void merge(WorkerInstance update) {
+  /**
+   * Merges what is known of one instance with an update.
+   *
+   * @return whether it is a new instance or has changed in what matters to routing
+   */
+  boolean merge(WorkerInstance update) {
     WorkerInstance previous = workers.get(update.id());
     WorkerInstance merged = previous == null ? update : previous.merge(update);
     if (merged.equals(previous)) {
-      return;
+      return false;
     }
     workers.put(merged.id(), merged);
     if (hasEnded(merged)) {
@@ -52,9 +56,11 @@
     } else {
       endedAt.remove(merged.id());
     }
-    if (merged.changesRoutingOf(previous)) {
+    boolean changed = merged.changesRoutingOf(previous);
+    if (changed) {
       onChange.accept(merged);
     }
+    return changed;
   }
 
   /** A checksum of the roster; it equals the primary's if both know the same workers. */
--- a/src/main/java/org/otterpond/control/message/WorkerReport.java
+++ b/src/main/java/org/otterpond/control/message/WorkerReport.java
@@ -72,7 +72,8 @@
    * @param nowMicros the reader's monotonic time
    */
   public WorkerInstance worker(long nowMicros) {
-    return relative.withSlowStartEnd(nowMicros + relative.slowStartEndMicros());
+    return relative.withSlowStartEnd(
+        WorkerInstance.slowStartEnd(relative.slowStartEndMicros(), nowMicros));
   }
 
   @Override
--- a/src/main/java/org/otterpond/control/state/WorkerInstance.java
+++ b/src/main/java/org/otterpond/control/state/WorkerInstance.java
@@ -16,7 +16,8 @@
  * @param slots number of requests that it serves at one time
  * @param state the state
  * @param sequence number of the heartbeat
- * @param slowStartEndMicros end of the slow start, in microseconds of the local monotonic clock
+ * @param slowStartEndMicros end of the slow start, in microseconds of the local monotonic clock; 0
+ *     if the newest heartbeat named none
  */
 public record WorkerInstance(
     String id,
@@ -41,6 +42,9 @@
   private static final String SEQUENCE = "seq";
   private static final String SLOW_START_MICROS = "warm";
 
+  /** Heartbeats that tell of the same slow start differ by the time that they were on their way. */
+  private static final long SLOW_START_TOLERANCE_MICROS = 500_000;
+
   /** The hash of an instance that has ended. */
   private static final long ENDED_HASH = 0;
 
@@ -87,7 +91,12 @@
         (int) encoded.number(SLOTS),
         decodeState(encoded),
         encoded.number(SEQUENCE),
-        nowMicros + encoded.number(SLOW_START_MICROS));
+        slowStartEnd(encoded.number(SLOW_START_MICROS), nowMicros));
+  }
+
+  /** Returns the end of a slow start with so much time left; 0 if none is left. */
+  public static long slowStartEnd(long leftMicros, long nowMicros) {
+    return leftMicros <= 0 ? 0 : nowMicros + leftMicros;
   }
 
   private static WorkerState decodeState(WireRecord encoded) throws ProtocolException {
@@ -172,6 +181,7 @@
         || old.state != state
         || old.slots != slots
         || !old.address.equals(address)
-        || !old.service.equals(service);
+        || !old.service.equals(service)
+        || slowStartEndMicros > old.slowStartEndMicros + SLOW_START_TOLERANCE_MICROS;
   }
 }
--- a/src/main/java/org/otterpond/server/HeartbeatResource.java
+++ b/src/main/java/org/otterpond/server/HeartbeatResource.java
@@ -56,7 +56,7 @@
 
   private static long slowStartEnd(JsonFields fields) throws ConfigException {
     long leftMillis = fields.whole("warmup_left_ms", 0, MAX_SLOW_START_MILLIS, 0);
-    return EventLoop.now() + MICROS_PER_MILLI * leftMillis;
+    return WorkerInstance.slowStartEnd(MICROS_PER_MILLI * leftMillis, EventLoop.now());
   }
 
   /** Removes the worker with the given identity from service. */
--- a/src/test/java/org/otterpond/simulation/SlowStartPropagationTest.java
+++ b/src/test/java/org/otterpond/simulation/SlowStartPropagationTest.java
@@ -44,4 +44,17 @@
 
     assertAllKnowItIsInSlowStart(cluster);
   }
+
+  // Guards against the flood of a worker whose slow start begins anew before it is over (FAILBACK).
+  @Test
+  void slowStartThatBeginsAnewIsExtendedOnEveryNode() {
+    SimulatedCluster cluster = bootstrap(48, 4, 4, 1);
+    heartbeat(cluster, 1, SLOW_START_MICROS);
+    cluster.world.run(2 * SECOND_MICROS);
+
+    heartbeat(cluster, 2, SLOW_START_MICROS);
+    cluster.world.run(2 * SECOND_MICROS);
+
+    assertAllKnowItIsInSlowStart(cluster);
+  }
 }
