Few nodes, chosen by the primary, send to a worker in slow start

Cause: a worker in slow start counted at half its weight at each node, and nothing bounded what all nodes together sent. Where the warm workers were full or avoided, the cold one was what was left. The class: a bound on a sum over all nodes, kept by a weight at each. Change: the primary chooses three nodes for a worker in slow start; each sends at an interval that keeps the sum of two such choices below warmup_per_s x warmup_excess + warmup_slack. All other nodes, and those not sure of their leases, pass it over. A service without warmup_per_s is as before. Evidence: SlowStartFleetTest failed before (39 requests in a second where 13 are allowed; up to 300 in the cases added here) and passes now.

--- a/src/main/java/org/otterpond/config/ConfigurationParser.java
+++ b/src/main/java/org/otterpond/config/ConfigurationParser.java
@@ -12,6 +12,9 @@
   private static final int MAX_HEADER_BYTES_LIMIT = 16 << 20;
   private static final int DEFAULT_MAX_CONNECTIONS = 100;
   private static final long MICROS_PER_MILLISECOND = 1000;
+  private static final long MICROS_PER_SECOND = 1_000_000;
+  private static final double MAX_SLOW_START_SECONDS = 86_400;
+  private static final double MAX_SLOW_START_REQUESTS_PER_SECOND = 1e9;
 
   private ConfigurationParser() {}
 
@@ -61,7 +64,15 @@
         fields.real("rate_per_s", 0, 0),
         fixedEndpoint(fields),
         fields.truth("partitioned", false),
-        Durations.seconds(fields, "warmup_period_s", 0, 0));
+        Durations.seconds(fields, "warmup_period_s", 0, 0),
+        slowStart(fields));
+  }
+
+  private static SlowStart slowStart(JsonFields fields) throws ConfigException {
+    double seconds = fields.real("warmup_s", 0, MAX_SLOW_START_SECONDS, 0);
+    return new SlowStart(
+        (long) (seconds * MICROS_PER_SECOND),
+        fields.real("warmup_per_s", 0, MAX_SLOW_START_REQUESTS_PER_SECOND, 0));
   }
 
   private static String fixedEndpoint(JsonFields fields) throws ConfigException {
--- a/src/main/java/org/otterpond/config/JsonFields.java
+++ b/src/main/java/org/otterpond/config/JsonFields.java
@@ -162,6 +162,16 @@
     return value;
   }
 
+  /** Returns an optional number between the bounds, which are allowed values, or a default. */
+  public double real(String name, double min, double max, double defaultValue)
+      throws ConfigException {
+    double value = real(name, min, defaultValue);
+    if (value > max) {
+      throw new ConfigException(at(name) + ": must not be above " + max);
+    }
+    return value;
+  }
+
   private BigDecimal number(String name) throws ConfigException {
     JsonElement element = required(name);
     if (!(element instanceof JsonPrimitive primitive) || !primitive.isNumber()) {
--- a/src/main/java/org/otterpond/config/NodeSettings.java
+++ b/src/main/java/org/otterpond/config/NodeSettings.java
@@ -18,6 +18,7 @@
  * @param retries the retry budget
  * @param quota bounds on the quota that nodes share
  * @param revocation bounds on the use of revoked access keys
+ * @param slowStart bounds on what workers in slow start get
  * @param faultTolerance the losses to tolerate
  */
 public record NodeSettings(
@@ -27,6 +28,7 @@
     Retries retries,
     Quota quota,
     Revocation revocation,
+    SlowStartBounds slowStart,
     Faults faultTolerance) {
   /**
    * Identity and addresses of a node.
@@ -142,6 +144,14 @@
    */
   record Revocation(boolean global, long timerMicros) {}
 
+  /**
+   * Bounds on the requests that a worker in slow start gets from all nodes within one second.
+   *
+   * @param excess factor on the rate that its service bears in slow start
+   * @param slack requests beyond that
+   */
+  record SlowStartBounds(double excess, double slack) {}
+
   /**
    * The losses at one time to tolerate.
    *
@@ -322,6 +332,16 @@
     return revocation.global();
   }
 
+  /** Returns the factor on the rate that a worker in slow start bears. */
+  public double slowStartExcess() {
+    return slowStart.excess();
+  }
+
+  /** Returns the requests that a worker in slow start may get in a second beyond its rate. */
+  public double slowStartSlack() {
+    return slowStart.slack();
+  }
+
   /** Returns the longest use of an access key after its revocation. */
   public long revokeMicros() {
     return revocation.timerMicros();
--- a/src/main/java/org/otterpond/config/NodeSettingsParser.java
+++ b/src/main/java/org/otterpond/config/NodeSettingsParser.java
@@ -37,7 +37,14 @@
   private NodeSettings parse() throws ConfigException {
     checkDeployment();
     return new NodeSettings(
-        node(), process(), timers(), retries(), quota(), revocation(), faultTolerance());
+        node(),
+        process(),
+        timers(),
+        retries(),
+        quota(),
+        revocation(),
+        slowStart(),
+        faultTolerance());
   }
 
   private void checkDeployment() throws ConfigException {
@@ -166,6 +173,11 @@
         Durations.millis(bounds, "revoke_timer_ms", 1, MAX_TIMER_MILLIS, 5000));
   }
 
+  private NodeSettings.SlowStartBounds slowStart() throws ConfigException {
+    return new NodeSettings.SlowStartBounds(
+        bounds.real("warmup_excess", 0, 1.5), bounds.real("warmup_slack", 0, 8));
+  }
+
   private NodeSettings.Faults faultTolerance() throws ConfigException {
     JsonFields losses = settings.optionalObject("fault_tolerance");
     return new NodeSettings.Faults(
--- a/src/main/java/org/otterpond/config/Service.java
+++ b/src/main/java/org/otterpond/config/Service.java
@@ -10,7 +10,8 @@
  * @param ratePerSecond rate limit of the service; 0 means none
  * @param fixedEndpoint {@code address:port} of the only endpoint; null if workers register
  * @param partitioned whether key ranges are leased to its workers
- * @param warmupMicros duration of the slow start of a new worker; 0 means none
+ * @param warmupMicros the time in which a new owner of a key range warms up; 0 means none
+ * @param slowStart the slow start of its workers
  */
 public record Service(
     String name,
@@ -20,4 +21,5 @@
     double ratePerSecond,
     String fixedEndpoint,
     boolean partitioned,
-    long warmupMicros) {}
+    long warmupMicros,
+    SlowStart slowStart) {}
--- a/src/main/java/org/otterpond/control/agent/ControlPlaneAgent.java
+++ b/src/main/java/org/otterpond/control/agent/ControlPlaneAgent.java
@@ -189,6 +189,15 @@
     return poller.configurationFreshAt();
   }
 
+  /**
+   * The newest moment, on this node's monotonic clock in microseconds, from which on the primary
+   * counts this node's lease; {@link ControlPlaneSettings#NODE_LEASE_MICROS} later the lease may
+   * have ended.
+   */
+  public long leaseConfirmedAt() {
+    return poller.leaseConfirmedAt();
+  }
+
   /**
    * The node to which a worker should send its heartbeats: one with a disk, in the worker's zone if
    * there is any, and always the same one for one instance.
--- a/src/main/java/org/otterpond/control/agent/UpdatePoller.java
+++ b/src/main/java/org/otterpond/control/agent/UpdatePoller.java
@@ -46,6 +46,7 @@
   private long answeredEpoch;
 
   private long configurationFreshAt = Long.MIN_VALUE / 2;
+  private long leaseConfirmedAt = Long.MIN_VALUE / 2;
 
   /**
    * Creates a poller that has not polled yet.
@@ -111,6 +112,11 @@
     return configurationFreshAt;
   }
 
+  /** The newest moment from which on the primary counts this node's lease. */
+  long leaseConfirmedAt() {
+    return leaseConfirmedAt;
+  }
+
   private void pollUnlessWaiting() {
     if (!waiting) {
       poll();
@@ -168,8 +174,10 @@
     answer.membership().ifPresent(onMembership);
     answeredEpoch = header.epoch();
     answer.configuration().ifPresent(applier::applyConfiguration);
+    long confirmedAt = polledAt - header.authorityAgeMicros();
+    leaseConfirmedAt = Math.max(leaseConfirmedAt, confirmedAt);
     if (configuration.current().revision() >= header.committedRevision()) {
-      configurationFreshAt = Math.max(configurationFreshAt, polledAt - header.authorityAgeMicros());
+      configurationFreshAt = Math.max(configurationFreshAt, confirmedAt);
     }
     applier.applyWorkers(answer);
     answer.assignments().ifPresent(applier::applyAssignments);
--- a/src/main/java/org/otterpond/control/primary/ControlPlaneSettings.java
+++ b/src/main/java/org/otterpond/control/primary/ControlPlaneSettings.java
@@ -18,6 +18,9 @@
     FaultTolerance faultTolerance,
     QuotaSettings quota,
     KeyRangeLeaseSettings hold) {
+  /** The lease of a node ends this long after its last poll. */
+  public static final long NODE_LEASE_MICROS = 2_500_000;
+
   /** Nodes use tokens for this much less than the owner counts them as outstanding. */
   public static final long LENT_MARGIN = 50_000;
 
--- a/src/main/java/org/otterpond/control/primary/NodeLeaseTable.java
+++ b/src/main/java/org/otterpond/control/primary/NodeLeaseTable.java
@@ -15,7 +15,7 @@
 /** The nodes that have a lease, by address. A node without one is not a member of the fleet. */
 final class NodeLeaseTable {
   /** A lease ends this long after the last poll. */
-  static final long NODE_LEASE_MICROS = 2_500_000;
+  static final long NODE_LEASE_MICROS = ControlPlaneSettings.NODE_LEASE_MICROS;
 
   /** A node whose last poll is older is not taken into the core. */
   private static final long JOIN_LIMIT_MICROS = NODE_LEASE_MICROS / 2;
--- a/src/main/java/org/otterpond/control/primary/WorkerRegistry.java
+++ b/src/main/java/org/otterpond/control/primary/WorkerRegistry.java
@@ -27,12 +27,26 @@
   private static final int REPLACEMENT_DIVISOR = 3;
 
   private final long timeoutMicros;
+  private final SlowStartNodes slowStartNodes;
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private long version;
   private long resetAtMicros;
   private long checksum;
   private long checksumVersion = -1;
 
+  /** Until then at least one instance is in slow start. */
+  private long slowStartsUntilMicros;
+
+  /** Chooses the nodes that may send requests to a worker in slow start. */
+  interface SlowStartNodes {
+    /**
+     * Returns the nodes for a worker.
+     *
+     * @param replaceMissing whether nodes without a lease lose their place
+     */
+    List<String> select(WorkerInstance worker, boolean replaceMissing);
+  }
+
   private static final class Entry {
     private WorkerInstance worker;
     private long version;
@@ -58,8 +72,9 @@
    *
    * @param heartbeatMicros time between the heartbeats of a worker
    */
-  WorkerRegistry(long heartbeatMicros) {
+  WorkerRegistry(long heartbeatMicros, SlowStartNodes slowStartNodes) {
     this.timeoutMicros = (long) (heartbeatMicros * MISSING_HEARTBEATS);
+    this.slowStartNodes = slowStartNodes;
   }
 
   /** Removes all instances and begins with the first version. */
@@ -104,6 +119,7 @@
     if (!merged.equals(entry.worker)) {
       entry.heardAtMicros = nowMicros;
     }
+    merged = withSlowStartNodes(merged, nowMicros);
     boolean changed = merged.changesRoutingOf(entry.worker);
     entry.worker = merged;
     if (changed) {
@@ -112,6 +128,42 @@
     return changed;
   }
 
+  private WorkerInstance withSlowStartNodes(WorkerInstance worker, long nowMicros) {
+    if (!worker.inSlowStart(nowMicros)) {
+      return worker;
+    }
+    slowStartsUntilMicros = Math.max(slowStartsUntilMicros, worker.slowStartEndMicros());
+    List<String> nodes = slowStartNodes.select(worker, earlierLeasesEnded(nowMicros));
+    return nodes.equals(worker.slowStartNodes()) ? worker : worker.withSlowStartNodes(nodes);
+  }
+
+  /** Whether no node can still use a lease of the primary before this one. */
+  private boolean earlierLeasesEnded(long nowMicros) {
+    return nowMicros - resetAtMicros > ControlPlaneSettings.NODE_LEASE_MICROS;
+  }
+
+  /**
+   * Gives the places of nodes whose leases have ended, among those that may send to instances in
+   * slow start, to others.
+   *
+   * @return the instances that changed
+   */
+  List<WorkerInstance> refreshSlowStartNodes(long nowMicros) {
+    if (slowStartsUntilMicros <= nowMicros) {
+      return List.of();
+    }
+    List<WorkerInstance> changed = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      WorkerInstance refreshed = withSlowStartNodes(entry.worker, nowMicros);
+      if (!refreshed.equals(entry.worker)) {
+        entry.worker = refreshed;
+        entry.version = ++version;
+        changed.add(refreshed);
+      }
+    }
+    return changed;
+  }
+
   /** Marks another instance at the address of a new one as lost. */
   private void endReplaced(WorkerInstance replacement, long nowMicros) {
     for (Entry entry : entries.values()) {
--- a/src/main/java/org/otterpond/control/primary/WorkerReportHandler.java
+++ b/src/main/java/org/otterpond/control/primary/WorkerReportHandler.java
@@ -82,6 +82,15 @@
     }
   }
 
+  /** Replaces nodes without a lease among those that may send to workers in slow start. */
+  void refreshSlowStarts() {
+    List<WorkerInstance> changed = registry.refreshSlowStartNodes(runtime.now());
+    changed.forEach(worker -> write(worker, () -> {}));
+    if (!changed.isEmpty()) {
+      core.workersChanged();
+    }
+  }
+
   private void update(WorkerInstance worker) {
     if (registry.update(worker, runtime.now())) {
       core.workersChanged();
--- a/src/main/java/org/otterpond/control/primary/WorkerServices.java
+++ b/src/main/java/org/otterpond/control/primary/WorkerServices.java
@@ -29,7 +29,7 @@
       Runnable onChange) {
     this.runtime = runtime;
     this.replica = replica;
-    registry = new WorkerRegistry(heartbeatMicros);
+    registry = new WorkerRegistry(heartbeatMicros, new SlowStartNodeSelector(leases)::select);
     table = new CompressedWorkerTable(runtime, registry);
     drains = new DrainAcknowledgements(runtime, leases::smallestWorkerTableVersion);
     reports = new WorkerReportHandler(runtime, registry, drains, new ReportCore(replica, onChange));
@@ -85,6 +85,7 @@
   /** Does what is due. */
   void tick() {
     reports.expire();
+    reports.refreshSlowStarts();
     drains.sendDue();
   }
 
--- a/src/main/java/org/otterpond/control/state/WorkerInstance.java
+++ b/src/main/java/org/otterpond/control/state/WorkerInstance.java
@@ -2,6 +2,8 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.otterpond.protocol.ProtocolException;
 import org.otterpond.protocol.WireRecord;
 
@@ -18,6 +20,8 @@
  * @param sequence number of the heartbeat
  * @param slowStartEndMicros end of the slow start, in microseconds of the local monotonic clock; 0
  *     if the newest heartbeat named none
+ * @param slowStartNodes addresses of the nodes that may send requests to the worker while it is in
+ *     slow start, in the order of their choice; chosen by the primary, empty until then
  */
 public record WorkerInstance(
     String id,
@@ -28,7 +32,8 @@
     int slots,
     WorkerState state,
     long sequence,
-    long slowStartEndMicros) {
+    long slowStartEndMicros,
+    List<String> slowStartNodes) {
   /** The encoded kind of an instance in worker tables. */
   public static final String KIND = "vessel";
 
@@ -41,6 +46,7 @@
   private static final String STATE = "state";
   private static final String SEQUENCE = "seq";
   private static final String SLOW_START_MICROS = "warm";
+  private static final String SLOW_START_NODES = "warmNodes";
 
   /** Heartbeats that tell of the same slow start differ by the time that they were on their way. */
   private static final long SLOW_START_TOLERANCE_MICROS = 500_000;
@@ -48,6 +54,30 @@
   /** The hash of an instance that has ended. */
   private static final long ENDED_HASH = 0;
 
+  /** Creates an instance for whose slow start no nodes are chosen. */
+  public WorkerInstance(
+      String id,
+      String service,
+      String address,
+      String zone,
+      String revision,
+      int slots,
+      WorkerState state,
+      long sequence,
+      long slowStartEndMicros) {
+    this(
+        id,
+        service,
+        address,
+        zone,
+        revision,
+        slots,
+        state,
+        sequence,
+        slowStartEndMicros,
+        List.of());
+  }
+
   /**
    * Encodes the instance for worker tables.
    *
@@ -72,7 +102,8 @@
         .with(SLOTS, slots)
         .with(STATE, state.name())
         .with(SEQUENCE, sequence)
-        .with(SLOW_START_MICROS, Math.max(0, slowStartEndMicros - nowMicros));
+        .with(SLOW_START_MICROS, Math.max(0, slowStartEndMicros - nowMicros))
+        .with(SLOW_START_NODES, slowStartNodes.isEmpty() ? null : slowStartNodes);
   }
 
   /**
@@ -91,7 +122,8 @@
         (int) encoded.number(SLOTS),
         decodeState(encoded),
         encoded.number(SEQUENCE),
-        slowStartEnd(encoded.number(SLOW_START_MICROS), nowMicros));
+        slowStartEnd(encoded.number(SLOW_START_MICROS), nowMicros),
+        decodeNodes(encoded));
   }
 
   /** Returns the end of a slow start with so much time left; 0 if none is left. */
@@ -99,6 +131,21 @@
     return leftMicros <= 0 ? 0 : nowMicros + leftMicros;
   }
 
+  private static List<String> decodeNodes(WireRecord encoded) throws ProtocolException {
+    if (!encoded.has(SLOW_START_NODES)) {
+      return List.of();
+    }
+    List<String> nodes = new ArrayList<>();
+    for (Object node : encoded.list(SLOW_START_NODES)) {
+      if (!(node instanceof String address)) {
+        throw new ProtocolException(
+            "kind " + encoded.kind() + ": not a list of texts in the field " + SLOW_START_NODES);
+      }
+      nodes.add(address);
+    }
+    return List.copyOf(nodes);
+  }
+
   private static WorkerState decodeState(WireRecord encoded) throws ProtocolException {
     String name = encoded.requiredText(STATE);
     try {
@@ -125,21 +172,42 @@
 
   /** Returns this instance in another state. */
   public WorkerInstance in(WorkerState other) {
-    return new WorkerInstance(
-        id, service, address, zone, revision, slots, other, sequence, slowStartEndMicros);
+    return with(other, slowStartEndMicros, slowStartNodes);
   }
 
   /** Returns this instance with another end of its slow start, in microseconds. */
   public WorkerInstance withSlowStartEnd(long otherMicros) {
+    return with(state, otherMicros, slowStartNodes);
+  }
+
+  /** Returns this instance with other nodes that may send to it in its slow start. */
+  public WorkerInstance withSlowStartNodes(List<String> otherNodes) {
+    return with(state, slowStartEndMicros, List.copyOf(otherNodes));
+  }
+
+  private WorkerInstance with(WorkerState otherState, long otherEnd, List<String> otherNodes) {
     return new WorkerInstance(
-        id, service, address, zone, revision, slots, state, sequence, otherMicros);
+        id, service, address, zone, revision, slots, otherState, sequence, otherEnd, otherNodes);
+  }
+
+  /** Returns whether the worker is in slow start. */
+  public boolean inSlowStart(long nowMicros) {
+    return slowStartEndMicros > nowMicros;
   }
 
   /**
    * Returns the newer of this known description and a received one of the same instance. An
-   * instance that is gone stays gone, and one that is draining takes no new requests again.
+   * instance that is gone stays gone, and one that is draining takes no new requests again. The
+   * nodes for its slow start come from the primary, whichever description is newer.
    */
   public WorkerInstance merge(WorkerInstance received) {
+    WorkerInstance newest = newest(received);
+    List<String> nodes =
+        received.slowStartNodes.isEmpty() ? slowStartNodes : received.slowStartNodes;
+    return newest.slowStartNodes.equals(nodes) ? newest : newest.withSlowStartNodes(nodes);
+  }
+
+  private WorkerInstance newest(WorkerInstance received) {
     if (state == WorkerState.GONE) {
       return this;
     }
@@ -182,6 +250,7 @@
         || old.slots != slots
         || !old.address.equals(address)
         || !old.service.equals(service)
-        || slowStartEndMicros > old.slowStartEndMicros + SLOW_START_TOLERANCE_MICROS;
+        || slowStartEndMicros > old.slowStartEndMicros + SLOW_START_TOLERANCE_MICROS
+        || !old.slowStartNodes.equals(slowStartNodes);
   }
 }
--- a/src/main/java/org/otterpond/messaging/MessageDispatcher.java
+++ b/src/main/java/org/otterpond/messaging/MessageDispatcher.java
@@ -22,6 +22,7 @@
 import org.otterpond.protocol.WireRecord;
 import org.otterpond.proxy.ProxyMetrics;
 import org.otterpond.proxy.ServiceDirectory;
+import org.otterpond.proxy.SlowStartLimiter;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,6 +48,7 @@
   /** Messages that are routed anew in the next round. */
   private final List<PendingDelivery> awaitingRoute = new ArrayList<>();
 
+  private ControlPlaneAgent agent;
   private MessageStore store;
   private QuotaCache quota;
   private GatewayConfiguration configuration;
@@ -57,7 +59,11 @@
     this.eventLoop = eventLoop;
     this.services =
         new ServiceDirectory(
-            eventLoop, settings, random, service -> queue(service.name()).deliverSoon());
+            eventLoop,
+            settings,
+            random,
+            service -> queue(service.name()).deliverSoon(),
+            () -> new SlowStartLimiter(settings, this::leaseConfirmedAt, metrics.slowStart));
     this.fixedEndpoints = new FixedEndpoints(services);
     this.active = new ActiveDeliveries(eventLoop);
     this.results = new DeliveryResultHandler(random, metrics);
@@ -65,13 +71,18 @@
   }
 
   /** Sets the control plane and the store; to be called once, before the node starts. */
-  public void fit(ControlPlaneAgent agent, MessageStore messageStore) {
+  public void fit(ControlPlaneAgent controlPlane, MessageStore messageStore) {
+    agent = controlPlane;
     quota = agent.stores();
     store = messageStore;
     results.setStore(messageStore);
     messageStore.fit(agent);
   }
 
+  private long leaseConfirmedAt() {
+    return agent.leaseConfirmedAt();
+  }
+
   private DeliveryQueue queue(String service) {
     return queues.computeIfAbsent(service, this::newQueue);
   }
@@ -98,6 +109,7 @@
   @Override
   public void configured(GatewayConfiguration newConfiguration) {
     configuration = newConfiguration;
+    services.configured(newConfiguration);
     fixedEndpoints.configured(newConfiguration);
     queues.forEach(this::configure);
     // Routes may have changed: what waits is routed anew.
--- a/src/main/java/org/otterpond/proxy/AttemptResultHandler.java
+++ b/src/main/java/org/otterpond/proxy/AttemptResultHandler.java
@@ -46,7 +46,9 @@
       long now = EventLoop.now();
       request.mayHaveExecuted = true;
       endpoint.requestExecuted(now);
-      request.endpoints.latency().add(now - attempt.sentAtMicros());
+      if (!endpoint.inSlowStart(now)) {
+        request.endpoints.latency().add(now - attempt.sentAtMicros());
+      }
     }
     if (!success && !request.openAttempts.isEmpty()) {
       // The other attempt may do better.
--- a/src/main/java/org/otterpond/proxy/EndpointSelector.java
+++ b/src/main/java/org/otterpond/proxy/EndpointSelector.java
@@ -65,7 +65,8 @@
       if (!endpoint.inService()
           || excluded.contains(endpoint.id())
           || (healthyOnly && (endpoint.avoided(nowMicros) || endpoint.unresponsive(nowMicros)))
-          || endpoint.inFlight() >= Math.min(connectionLimit, endpoint.maxInFlight())) {
+          || endpoint.inFlight() >= Math.min(connectionLimit, endpoint.maxInFlight())
+          || !endpoint.slowStartPermits(nowMicros)) {
         continue;
       }
       double load = endpoint.load(nowMicros);
--- a/src/main/java/org/otterpond/proxy/PartitionRouting.java
+++ b/src/main/java/org/otterpond/proxy/PartitionRouting.java
@@ -28,6 +28,7 @@
     if (owner == null
         || owner.avoided(nowMicros)
         || owner.inFlight() >= owner.maxInFlight()
+        || !owner.slowStartPermits(nowMicros)
         || owner.drainingLongerThan(maxDrainMicros, nowMicros)) {
       return null;
     }
--- a/src/main/java/org/otterpond/proxy/ProxyHandler.java
+++ b/src/main/java/org/otterpond/proxy/ProxyHandler.java
@@ -85,7 +85,13 @@
     this.retryEarning = settings.retryRatio() * EARNED_FRACTION;
     Random random = new Random(ThreadLocalRandom.current().nextLong());
     this.workerClient = new WorkerClient(eventLoop);
-    this.services = new ServiceDirectory(eventLoop, settings, random, this::capacityAvailable);
+    this.services =
+        new ServiceDirectory(
+            eventLoop,
+            settings,
+            random,
+            this::capacityAvailable,
+            () -> new SlowStartLimiter(settings, this::leaseConfirmedAt, metrics.slowStart));
     this.awaitingConfiguration = new RequestsAwaitingConfiguration(eventLoop, metrics.departures);
     this.agent = agentFactory.apply(this);
     this.admission = new RequestAdmission(agent, settings, random, metrics);
@@ -165,9 +171,14 @@
 
   // Updates of the control plane.
 
+  private long leaseConfirmedAt() {
+    return agent.leaseConfirmedAt();
+  }
+
   @Override
   public void configured(GatewayConfiguration newConfiguration) {
     configuration = newConfiguration;
+    services.configured(newConfiguration);
     newConfiguration
         .services()
         .values()
--- a/src/main/java/org/otterpond/proxy/ProxyMetrics.java
+++ b/src/main/java/org/otterpond/proxy/ProxyMetrics.java
@@ -46,6 +46,9 @@
   /** Requests whose clients left before their responses were complete. */
   public final DepartureMetrics departures = new DepartureMetrics();
 
+  /** Requests to workers in slow start. */
+  public final SlowStartMetrics slowStart = new SlowStartMetrics();
+
   /** Repeated operations answered with the stored response. */
   public final LongAdder replays = new LongAdder();
 }
--- a/src/main/java/org/otterpond/proxy/ServiceDirectory.java
+++ b/src/main/java/org/otterpond/proxy/ServiceDirectory.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.otterpond.config.GatewayConfiguration;
 import org.otterpond.config.NodeSettings;
 import org.otterpond.control.state.WorkerInstance;
 import org.otterpond.control.state.WorkerState;
@@ -22,6 +24,7 @@
   private final NodeSettings settings;
   private final Random random;
   private final Consumer<ServiceEndpoints> capacityListener;
+  private final Supplier<SlowStartLimiter> slowStartLimiters;
   private final Map<String, ServiceEndpoints> services = new HashMap<>();
   private final Map<String, String> serviceByInstance = new HashMap<>();
   private ZoneShares zoneShares = ZoneShares.singleNode(UNKNOWN_ZONE);
@@ -30,16 +33,19 @@
    * Creates an empty directory and starts its timers.
    *
    * @param capacityListener notified of a service that may have a free slot for another request
+   * @param slowStartLimiters creates a limiter for each service
    */
   public ServiceDirectory(
       EventLoop eventLoop,
       NodeSettings settings,
       Random random,
-      Consumer<ServiceEndpoints> capacityListener) {
+      Consumer<ServiceEndpoints> capacityListener,
+      Supplier<SlowStartLimiter> slowStartLimiters) {
     this.eventLoop = eventLoop;
     this.settings = settings;
     this.random = random;
     this.capacityListener = capacityListener;
+    this.slowStartLimiters = slowStartLimiters;
     eventLoop.after(IDLE_SWEEP_MICROS, this::closeIdleConnections);
     eventLoop.after(OutlierEjection.SAMPLE_INTERVAL_MICROS, this::sampleOutliers);
   }
@@ -54,11 +60,20 @@
   }
 
   private ServiceEndpoints newService(String name) {
-    ServiceEndpoints service = new ServiceEndpoints(name, random, settings);
+    ServiceEndpoints service =
+        new ServiceEndpoints(name, random, settings, slowStartLimiters.get());
     service.setZoneShares(zoneShares);
     return service;
   }
 
+  /** Takes in the services of a configuration. */
+  public void configured(GatewayConfiguration configuration) {
+    configuration
+        .services()
+        .values()
+        .forEach(service -> service(service.name()).configure(service));
+  }
+
   /** Takes in the number of nodes by zone and the position of this node in its own. */
   public void updateNodes(Map<String, Integer> nodesByZone, int rank) {
     zoneShares = new ZoneShares(settings.zone(), Map.copyOf(nodesByZone), rank);
--- a/src/main/java/org/otterpond/proxy/ServiceEndpoints.java
+++ b/src/main/java/org/otterpond/proxy/ServiceEndpoints.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.otterpond.config.NodeSettings;
+import org.otterpond.config.Service;
 import org.otterpond.keyrange.KeyRangeTable;
 
 /** One service on this node: its workers, their selection, its request queue and retry budget. */
@@ -19,13 +20,16 @@
   private final ZoneAwareLoadBalancer loadBalancer;
   private final EndpointSelector selector;
   private final OutlierEjection outlierEjection;
+  private final SlowStartLimiter slowStartLimiter;
   private final long maxPartitionDrainMicros;
 
   /** Null where requests may go to any worker. */
   private PartitionRouting partitionRouting;
 
-  ServiceEndpoints(String name, Random random, NodeSettings settings) {
+  ServiceEndpoints(
+      String name, Random random, NodeSettings settings, SlowStartLimiter slowStartLimiter) {
     this.name = name;
+    this.slowStartLimiter = slowStartLimiter;
     this.retryBudget = new RetryBudget(settings.retryWindowMicros());
     this.loadBalancer = new ZoneAwareLoadBalancer(random, endpoints.values());
     this.selector = new EndpointSelector(random, endpoints.values(), loadBalancer);
@@ -61,6 +65,7 @@
   }
 
   void add(WorkerEndpoint endpoint) {
+    endpoint.setSlowStartLimiter(slowStartLimiter);
     endpoints.put(endpoint.id(), endpoint);
     loadBalancer.endpointsChanged();
   }
@@ -84,6 +89,11 @@
     selector.setConnectionLimit(perWorker);
   }
 
+  /** Takes the service's section of the configuration. */
+  void configure(Service service) {
+    slowStartLimiter.setRequestsPerSecond(service.slowStart().requestsPerSecond());
+  }
+
   /** Sets the key ranges of a partitioned service; null for one that is not partitioned. */
   void setKeyRanges(KeyRangeTable ranges) {
     partitionRouting =
--- a/src/main/java/org/otterpond/proxy/WorkerEndpoint.java
+++ b/src/main/java/org/otterpond/proxy/WorkerEndpoint.java
@@ -24,6 +24,11 @@
   private final LatencyAverage latency;
   private WorkerInstance instance;
   private long drainingSinceMicros;
+
+  /** Null until the worker belongs to a service. */
+  private SlowStartLimiter slowStartLimiter;
+
+  private long lastSentAtMicros = Long.MIN_VALUE / 2;
   private int inFlight;
   private long lastResponseAtMicros;
 
@@ -61,6 +66,19 @@
     return instance.state() == WorkerState.IN_SERVICE;
   }
 
+  /** Sets what limits the requests of this node to the worker while it is in slow start. */
+  void setSlowStartLimiter(SlowStartLimiter limiter) {
+    slowStartLimiter = limiter;
+  }
+
+  /**
+   * Returns whether this node may send the worker another request as far as its slow start goes.
+   */
+  boolean slowStartPermits(long nowMicros) {
+    return slowStartLimiter == null
+        || slowStartLimiter.permits(instance, lastSentAtMicros, nowMicros);
+  }
+
   String zone() {
     return instance.zone();
   }
@@ -105,6 +123,10 @@
 
   /** Counts a request as in flight. */
   public void attemptStarted(long nowMicros) {
+    if (slowStartLimiter != null) {
+      slowStartLimiter.sent(instance, lastSentAtMicros, nowMicros);
+    }
+    lastSentAtMicros = nowMicros;
     if (inFlight > 0) {
       unansweredMicros = unansweredMicros(nowMicros);
     } else if (abandonedSinceResponse) {
@@ -168,7 +190,7 @@
   }
 
   boolean inSlowStart(long nowMicros) {
-    return instance.slowStartEndMicros() > nowMicros;
+    return instance.inSlowStart(nowMicros);
   }
 
   /** Sets the weight in the selection; below 1 while the worker is ejected as an outlier. */
--- a/src/main/java/org/otterpond/server/MetricsPage.java
+++ b/src/main/java/org/otterpond/server/MetricsPage.java
@@ -39,6 +39,7 @@
       registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
       registerCounters(registry);
       registerDepartures(registry);
+      registerSlowStarts(registry);
       registerGauges(registry);
     }
     exchange.answer(
@@ -105,6 +106,19 @@
         departures.violations);
   }
 
+  private void registerSlowStarts(PrometheusMeterRegistry meters) {
+    count(
+        meters,
+        "otterpond.slow_start.requests",
+        "Requests sent to workers in slow start",
+        metrics.slowStart.requests);
+    count(
+        meters,
+        "otterpond.slow_start.violations",
+        "Requests beyond this node's share of what a worker in slow start bears",
+        metrics.slowStart.violations);
+  }
+
   private static void countDepartures(
       PrometheusMeterRegistry meters, String name, String kind, String stage, LongAdder count) {
     FunctionCounter.builder(name, count, LongAdder::sum)
--- a/src/test/java/org/otterpond/config/ConfigurationParserTest.java
+++ b/src/test/java/org/otterpond/config/ConfigurationParserTest.java
@@ -52,7 +52,12 @@
         "'/x/y/' | '/x/y' | route_table[1].path_prefix",
         "'revision':3 | 'revision':0 | revision",
         "'name':'b' | 'name':'a' | route_table[1].name",
-        "'max_attempts':2} | 'max_attempts':0} | max_attempts"
+        "'max_attempts':2} | 'max_attempts':0} | max_attempts",
+        "{'name':'t'} | {'name':'t','warmup_s':-1} | service_table[1].warmup_s",
+        "{'name':'t'} | {'name':'t','warmup_s':1e20} | service_table[1].warmup_s",
+        "{'name':'t'} | {'name':'t','warmup_per_s':-0.1} | service_table[1].warmup_per_s",
+        "{'name':'t'} | {'name':'t','warmup_per_s':1e30} | service_table[1].warmup_per_s",
+        "{'name':'t'} | {'name':'t','warmup_per_s':'3'} | service_table[1].warmup_per_s"
       },
       quoteCharacter = '~')
   void givenInvalidField_whenParsed_thenTheErrorNamesIt(String from, String to, String field)
@@ -63,6 +68,15 @@
     assertTrue(error.getMessage().contains(field), error.getMessage());
   }
 
+  @Test
+  void givenSlowStart_whenParsed_thenItIsTheServicesOwn() throws ConfigException {
+    String limited =
+        VALID.replace("{'name':'t'}", "{'name':'t','warmup_s':3.0,'warmup_per_s':3.6}");
+    GatewayConfiguration configuration = ConfigurationParser.read(json(limited));
+    assertEquals(new SlowStart(3_000_000, 3.6), configuration.services().get("t").slowStart());
+    assertEquals(new SlowStart(0, 0), configuration.services().get("s").slowStart());
+  }
+
   @Test
   void givenWeightsOfSumZero_whenParsed_thenTheyAreRejected() throws ConfigException {
     String invalid =
--- a/src/test/java/org/otterpond/control/primary/WorkerRegistryTest.java
+++ b/src/test/java/org/otterpond/control/primary/WorkerRegistryTest.java
@@ -13,7 +13,8 @@
   private static final long HEARTBEAT = 1_000_000;
   private static final long TIMEOUT = 3_500_000;
 
-  private final WorkerRegistry registry = new WorkerRegistry(HEARTBEAT);
+  private final WorkerRegistry registry =
+      new WorkerRegistry(HEARTBEAT, (worker, replaceMissing) -> List.of());
 
   private static WorkerInstance worker(String id, String address, long sequence) {
     return new WorkerInstance(
--- a/src/test/java/org/otterpond/proxy/AbandonedWorkMonitorTest.java
+++ b/src/test/java/org/otterpond/proxy/AbandonedWorkMonitorTest.java
@@ -47,7 +47,12 @@
     Route route =
         new Route(
             "r", "h", "/", type, 1, 1, 0, List.of(new RouteTarget("s", 1)), 2, false, false, 0);
-    ServiceEndpoints endpoints = new ServiceEndpoints("s", new Random(1), settings);
+    ServiceEndpoints endpoints =
+        new ServiceEndpoints(
+            "s",
+            new Random(1),
+            settings,
+            new SlowStartLimiter(settings, () -> 0, new SlowStartMetrics()));
     return new RequestContext(
         ServerExchanges.receivedAtMicros(HttpMessage.request("GET", "/"), 0),
         route,
--- a/src/test/java/org/otterpond/proxy/SlowStartFleet.java
+++ b/src/test/java/org/otterpond/proxy/SlowStartFleet.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -35,6 +36,7 @@
   private static final int SLOTS = 6;
   private static final int QUEUE_LENGTH = 24;
   private static final int MAX_ATTEMPTS = 2;
+  private static final int NODES_PER_WORKER = 3;
   private static final String ZONE = "z";
 
   /** A response: of an executed request, or of one that the worker had no room for. */
@@ -79,26 +81,43 @@
   private final Random random = new Random(47);
   private final List<ServiceEndpoints> nodes = new ArrayList<>();
   private final Map<String, Worker> workers = new HashMap<>();
+  private final List<String> addresses = new ArrayList<>();
   private final PriorityQueue<Response> responses =
       new PriorityQueue<>(Comparator.comparingLong(Response::atMicros));
   private long now = 1;
+
+  /**
+   * Since when all nodes are sure of their leases; they are sure of them all the time by default.
+   */
+  private long leaseConfirmedAtMicros = Long.MAX_VALUE;
+
+  /** The counters of all nodes. */
+  final SlowStartMetrics metrics = new SlowStartMetrics();
+
   private long slowStartBegin;
   private double owedRequests;
 
   SlowStartFleet(Path folder, int size) throws IOException, ConfigException {
-    NodeSettings settings = settings(folder);
     for (int rank = 0; rank < size; rank++) {
-      ServiceEndpoints node = new ServiceEndpoints("s", new Random(random.nextLong()), settings);
+      NodeSettings settings = settings(folder, rank);
+      SlowStartLimiter limiter =
+          new SlowStartLimiter(settings, () -> leaseConfirmedAtMicros, metrics);
+      ServiceEndpoints node =
+          new ServiceEndpoints("s", new Random(random.nextLong()), settings, limiter);
+      limiter.setRequestsPerSecond(COLD_REQUESTS_PER_SECOND);
       node.setZoneShares(new ZoneShares(ZONE, Map.of(ZONE, size), rank));
       nodes.add(node);
+      addresses.add(settings.internalAddress());
     }
   }
 
-  private static NodeSettings settings(Path folder) throws IOException, ConfigException {
+  private static NodeSettings settings(Path folder, int rank) throws IOException, ConfigException {
     Path file = folder.resolve("local.json");
     Files.writeString(
         file,
-        "{\"node_name\":\"n\",\"ip\":\"127.0.0.1\",\"zone\":\"z\",\"listen_points\":{},"
+        "{\"node_name\":\"n\",\"ip\":\"10.0.0."
+            + (1 + rank)
+            + "\",\"zone\":\"z\",\"listen_points\":{},"
             + "\"internal_port_range\":[1,1],\"seed_peers\":[\"127.0.0.1:1\"],"
             + "\"initial_start\":true,\"bounds\":{\"warmup_excess\":1.5,\"warmup_slack\":8}}");
     return NodeSettings.load(file);
@@ -114,11 +133,40 @@
   void addColdWorker(String id, long slowStartMicros) {
     WorkerInstance worker =
         new WorkerInstance(
-            id, "s", "h:1", ZONE, "-", SLOTS, WorkerState.IN_SERVICE, 1, end(slowStartMicros));
+            id,
+            "s",
+            "h:1",
+            ZONE,
+            "-",
+            SLOTS,
+            WorkerState.IN_SERVICE,
+            1,
+            end(slowStartMicros),
+            chooseNodes());
     workers.put(id, new Worker(worker));
     nodes.forEach(node -> node.add(new WorkerEndpoint(worker, null, node.latency())));
   }
 
+  /** Chooses nodes for a worker, as a primary does. */
+  private List<String> chooseNodes() {
+    List<String> shuffled = new ArrayList<>(addresses);
+    Collections.shuffle(shuffled, random);
+    return List.copyOf(shuffled.subList(0, Math.min(NODES_PER_WORKER, shuffled.size())));
+  }
+
+  /** Another primary chooses other nodes for a worker, and only some nodes learn of it. */
+  void chooseAgain(String id, int informedNodes) {
+    WorkerInstance chosenAgain = workers.get(id).instance.withSlowStartNodes(chooseNodes());
+    for (int node = 0; node < informedNodes; node++) {
+      nodes.get(node).endpoint(id).update(chosenAgain, now);
+    }
+  }
+
+  /** From now on no node has news of its lease. */
+  void loseCore() {
+    leaseConfirmedAtMicros = now;
+  }
+
   /** Begins the slow start of a worker that is in service. */
   void becomesCold(String id, long slowStartMicros) {
     WorkerInstance cold = workers.get(id).instance.withSlowStartEnd(end(slowStartMicros));
