Soak: workers that restart are in slow start, and what they get is counted

Real nodes had no worker in slow start. A worker that was restarted has another identity now, answers 421 to requests for the one before and is in slow start for 3 s; a slow one of an even number says that it is. The judge counts what an instance in slow start gets within a second from all nodes, and the inspection of the logs takes slow_start_exceeded for a fault.

--- a/src/main/java/org/otterpond/soak/Disturber.java
+++ b/src/main/java/org/otterpond/soak/Disturber.java
@@ -116,9 +116,9 @@
   }
 
   private static void slow(SoakWorker worker, int millis) throws InterruptedException {
-    worker.setSlow(true);
+    worker.slowDown(millis);
     Thread.sleep(millis);
-    worker.setSlow(false);
+    worker.speedUp();
   }
 
   private static void cut(SoakWorker worker, int millis) throws InterruptedException {
--- a/src/main/java/org/otterpond/soak/NodeInspection.java
+++ b/src/main/java/org/otterpond/soak/NodeInspection.java
@@ -14,7 +14,7 @@
   private static final Pattern FAULTS =
       Pattern.compile(
           "event=(abandoned_work|messages_stranded|task_failed|loop_failed|out_of_memory"
-              + "|work_failed)");
+              + "|work_failed|slow_start_exceeded)");
   private static final String VIOLATIONS = "otterpond_departures_violations_total";
   private static final String OPEN_REQUESTS = "otterpond_requests_open";
   private static final int ATTEMPTS = 20;
--- a/src/main/java/org/otterpond/soak/SoakConfiguration.java
+++ b/src/main/java/org/otterpond/soak/SoakConfiguration.java
@@ -15,6 +15,9 @@
   /** Longest time of a request. */
   static final int TIMEOUT_MILLIS = 5_000;
 
+  /** What a worker bears in slow start. */
+  static final int SLOW_START_REQUESTS_PER_SECOND = 4;
+
   private static final int LATENCY_TARGET_MILLIS = 1_200;
   private static final int MAX_ATTEMPTS = 2;
   private static final int QUOTA_PER_SECOND = 40;
@@ -30,6 +33,8 @@
     }
     JsonObject service = new JsonObject();
     service.addProperty("name", SERVICE);
+    service.addProperty("warmup_s", 3);
+    service.addProperty("warmup_per_s", SLOW_START_REQUESTS_PER_SECOND);
     JsonArray services = new JsonArray();
     services.add(service);
     JsonArray tenants = new JsonArray();
--- a/src/main/java/org/otterpond/soak/SoakJudge.java
+++ b/src/main/java/org/otterpond/soak/SoakJudge.java
@@ -1,6 +1,7 @@
 package org.otterpond.soak;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,12 @@
   /** A request that ends sooner and was not passed on may have crossed the node's close. */
   private static final long CROSSING_NANOS = 200 * NANOS_PER_MILLI;
 
+  private static final long SECOND_NANOS = 1_000 * NANOS_PER_MILLI;
+
+  /** With the standard bounds of the nodes: a factor of 1.5, and 8 requests. */
+  private static final int MAX_SLOW_START_ARRIVALS =
+      SoakConfiguration.SLOW_START_REQUESTS_PER_SECOND * 3 / 2 + 8;
+
   private static final int MAX_ATTEMPTS = 2;
   private static final int OK = 200;
 
@@ -38,6 +45,7 @@
       checkResponse(request);
     }
     checkKeys();
+    records.slowStartArrivals.forEach(this::checkSlowStart);
     return violations;
   }
 
@@ -121,6 +129,22 @@
                     && interval.overlaps(request.sentAtNanos - CALM_NANOS, request.endedAtNanos));
   }
 
+  // FAILBACK: what a worker in slow start gets from all nodes within a second.
+
+  private void checkSlowStart(String instance, Collection<Long> arrivals) {
+    List<Long> times = arrivals.stream().sorted().toList();
+    int most = 0;
+    for (int first = 0, last = 0; last < times.size(); last++) {
+      while (times.get(last) - times.get(first) >= SECOND_NANOS) {
+        first++;
+      }
+      most = Math.max(most, last - first + 1);
+    }
+    if (most > MAX_SLOW_START_ARRIVALS) {
+      violations.add(instance + " got " + most + " requests within a second of its slow start");
+    }
+  }
+
   // Idempotency keys: one run, one response.
 
   private void checkKeys() {
--- a/src/main/java/org/otterpond/soak/SoakRecords.java
+++ b/src/main/java/org/otterpond/soak/SoakRecords.java
@@ -74,6 +74,9 @@
   final Map<String, List<Run>> runsByAttempt = new ConcurrentHashMap<>();
   final List<Interval> disturbances = new CopyOnWriteArrayList<>();
 
+  /** When requests reached each worker instance in slow start, in nanoseconds. */
+  final Map<String, Queue<Long>> slowStartArrivals = new ConcurrentHashMap<>();
+
   final ProcessorPressure pressure = new ProcessorPressure();
 
   /** What was found while the soak ran. */
@@ -83,6 +86,12 @@
     runsByAttempt.computeIfAbsent(run.attemptId, attempt -> new CopyOnWriteArrayList<>()).add(run);
   }
 
+  void addSlowStartArrival(String instance) {
+    slowStartArrivals
+        .computeIfAbsent(instance, any -> new ConcurrentLinkedQueue<>())
+        .add(System.nanoTime());
+  }
+
   List<Run> runs(Request request) {
     return runsByAttempt.getOrDefault(request.attemptId, List.of());
   }
--- a/src/main/java/org/otterpond/soak/SoakRun.java
+++ b/src/main/java/org/otterpond/soak/SoakRun.java
@@ -76,9 +76,14 @@
   private void startWorkers() throws IOException {
     InetAddress address = InetAddress.getByName("127." + options.network() + ".1.1");
     for (int number = 0; number < options.workers(); number++) {
-      SoakWorker worker = new SoakWorker(number, address, records);
-      workers.add(worker);
       Random random = new Random(options.seed() * options.workers() + number);
+      SoakWorker worker =
+          new SoakWorker(
+              number,
+              address,
+              records,
+              announcing -> heartbeats.execute(() -> sendHeartbeat(announcing, random)));
+      workers.add(worker);
       heartbeatSchedules.add(
           heartbeats.scheduleWithFixedDelay(
               () -> sendHeartbeat(worker, random), 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS));
@@ -95,6 +100,7 @@
     heartbeat.addProperty("zone", "z");
     heartbeat.addProperty("capacity_slots", SoakWorker.SLOTS);
     heartbeat.addProperty("state", "in_service");
+    heartbeat.addProperty("warmup_left_ms", worker.slowStartLeftMillis());
     heartbeat.addProperty("call_sequence", heartbeatNumber.incrementAndGet());
     try {
       new ControlApiClient(controlPoints(random))
--- a/src/main/java/org/otterpond/soak/SoakWorker.java
+++ b/src/main/java/org/otterpond/soak/SoakWorker.java
@@ -12,15 +12,20 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 /**
  * A worker that works on each request for the time that its path names, listens meanwhile whether
- * the node breaks it off, and records both. A thread a connection.
+ * the node breaks it off, and records both. After a restart it has another identity and is in slow
+ * start. A thread a connection.
  */
 final class SoakWorker implements AutoCloseable {
   /** More requests than this at once are rejected as not executed. */
   static final int SLOTS = 8;
 
+  /** How long a worker is in slow start after it was restarted. */
+  private static final int SLOW_START_MILLIS = 3_000;
+
   private static final int BACKLOG = 500;
   private static final int SLOW_FACTOR = 10;
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -32,15 +37,24 @@
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private final AtomicInteger inProgress = new AtomicInteger();
   private final Relay relay;
+  private final Consumer<SoakWorker> announcer;
   private ServerSocket server;
+  private final AtomicInteger restarts = new AtomicInteger();
+  private volatile long slowStartEndNanos = System.nanoTime();
   private volatile boolean slow;
   private volatile boolean crashed;
 
-  /** Starts a worker behind a relay. */
-  SoakWorker(int number, InetAddress address, SoakRecords records) throws IOException {
+  /**
+   * Starts a worker behind a relay.
+   *
+   * @param announcer sends a heartbeat of the worker at once
+   */
+  SoakWorker(int number, InetAddress address, SoakRecords records, Consumer<SoakWorker> announcer)
+      throws IOException {
     this.number = number;
     this.address = address;
     this.records = records;
+    this.announcer = announcer;
     listen(0);
     this.relay = new Relay(address, new InetSocketAddress(address, server.getLocalPort()));
   }
@@ -59,7 +73,26 @@
   }
 
   String instance() {
-    return "w-" + number;
+    return "w-" + number + "-" + restarts;
+  }
+
+  /** Returns how much longer the worker is in slow start, in milliseconds. */
+  long slowStartLeftMillis() {
+    return Math.max(0, (slowStartEndNanos - System.nanoTime()) / NANOS_PER_MILLI);
+  }
+
+  /** Puts the worker into slow start, in service or not, and announces it. */
+  private void beginSlowStart(int millis) {
+    slowStartEndNanos = System.nanoTime() + millis * NANOS_PER_MILLI;
+    announcer.accept(this);
+  }
+
+  /** Makes the worker slow; one of an even number says so, as a worker in slow start does. */
+  void slowDown(int millis) {
+    slow = true;
+    if (number % 2 == 0) {
+      beginSlowStart(millis);
+    }
   }
 
   Relay relay() {
@@ -70,8 +103,8 @@
     return crashed;
   }
 
-  void setSlow(boolean value) {
-    slow = value;
+  void speedUp() {
+    slow = false;
   }
 
   /** Ends all connections and takes none. */
@@ -83,10 +116,12 @@
     }
   }
 
-  /** Takes connections again, at the same address. */
+  /** Takes connections again, at the same address and under another identity. */
   void restart() throws IOException {
+    restarts.incrementAndGet();
     listen(server.getLocalPort());
     crashed = false;
+    beginSlowStart(SLOW_START_MILLIS);
   }
 
   private void accept(ServerSocket listening) {
@@ -123,6 +158,13 @@
       throw new IOException("body cut off");
     }
     String attemptId = HttpText.header(head, "X-Otterpond-Attempt-Id");
+    if (!instance().equals(HttpText.header(head, "X-Otterpond-Expected-Instance"))) {
+      send(connection, 421, attemptId, "X-Otterpond-Not-Executed: other instance\r\n", "");
+      return;
+    }
+    if (slowStartLeftMillis() > 0) {
+      records.addSlowStartArrival(instance());
+    }
     if (inProgress.incrementAndGet() > SLOTS) {
       inProgress.decrementAndGet();
       send(connection, 503, attemptId, "X-Otterpond-Not-Executed: full\r\n", "");
--- a/src/test/java/org/otterpond/soak/SoakTest.java
+++ b/src/test/java/org/otterpond/soak/SoakTest.java
@@ -76,6 +76,17 @@
     assertEquals(List.of(), violations());
   }
 
+  // Guards against a worker in slow start that is flooded by all nodes together (FAILBACK).
+  @Test
+  void moreArrivalsInOneSecondThanWorkerBearsInSlowStartAreFound() {
+    for (int i = 0; i < 14; i++) {
+      records.addSlowStartArrival("w-1-1");
+    }
+    assertEquals(List.of(), violations());
+    records.addSlowStartArrival("w-1-1");
+    assertEquals(1, violations().size());
+  }
+
   @Test
   void requestThatReachesWorkerAfterTheDepartureIsFound() {
     SoakRecords.Request request = request(RequestKind.NON_IDEMPOTENT, null);
