The end of a slow start is recorded, so that none begins anew with the core

Cause: the replicated state keeps what was left of a slow start when the worker joined, and no entry followed its end. After a loss of all processes every worker that had once joined cold counted as cold for the whole time again, and with the limit of slow starts only three nodes would have used it. Change: the registry keeps the slow starts that have not ended apart; the primary writes the end to the replicated log. Nodes need no message: they count it down. Evidence: SlowStartPropagationTest.slowStartThatIsOverDoesNotBeginAnew... fails without the entry (d1:1 takes the worker for cold) and passes with it.

--- a/src/main/java/org/otterpond/control/primary/WorkerRegistry.java
+++ b/src/main/java/org/otterpond/control/primary/WorkerRegistry.java
@@ -34,8 +34,8 @@
   private long checksum;
   private long checksumVersion = -1;
 
-  /** Until then at least one instance is in slow start. */
-  private long slowStartsUntilMicros;
+  /** The instances whose slow start has not been seen to end, by id. */
+  private final Map<String, Entry> slowStarts = new LinkedHashMap<>();
 
   /** Chooses the nodes that may send requests to a worker in slow start. */
   interface SlowStartNodes {
@@ -80,6 +80,7 @@
   /** Removes all instances and begins with the first version. */
   void reset(long nowMicros) {
     entries.clear();
+    slowStarts.clear();
     version = 1;
     resetAtMicros = nowMicros;
   }
@@ -119,7 +120,10 @@
     if (!merged.equals(entry.worker)) {
       entry.heardAtMicros = nowMicros;
     }
-    merged = withSlowStartNodes(merged, nowMicros);
+    if (merged.inSlowStart(nowMicros)) {
+      slowStarts.put(merged.id(), entry);
+      merged = withSlowStartNodes(merged, nowMicros);
+    }
     boolean changed = merged.changesRoutingOf(entry.worker);
     entry.worker = merged;
     if (changed) {
@@ -129,10 +133,6 @@
   }
 
   private WorkerInstance withSlowStartNodes(WorkerInstance worker, long nowMicros) {
-    if (!worker.inSlowStart(nowMicros)) {
-      return worker;
-    }
-    slowStartsUntilMicros = Math.max(slowStartsUntilMicros, worker.slowStartEndMicros());
     List<String> nodes = slowStartNodes.select(worker, earlierLeasesEnded(nowMicros));
     return nodes.equals(worker.slowStartNodes()) ? worker : worker.withSlowStartNodes(nodes);
   }
@@ -144,16 +144,21 @@
 
   /**
    * Gives the places of nodes whose leases have ended, among those that may send to instances in
-   * slow start, to others.
+   * slow start, to others, and notes which slow starts have ended.
    *
-   * @return the instances that changed
+   * @return the instances that changed; only those still in slow start concern the nodes
    */
-  List<WorkerInstance> refreshSlowStartNodes(long nowMicros) {
-    if (slowStartsUntilMicros <= nowMicros) {
-      return List.of();
-    }
+  List<WorkerInstance> refreshSlowStarts(long nowMicros) {
     List<WorkerInstance> changed = new ArrayList<>();
-    for (Entry entry : entries.values()) {
+    Iterator<Entry> all = slowStarts.values().iterator();
+    while (all.hasNext()) {
+      Entry entry = all.next();
+      if (!entry.worker.inSlowStart(nowMicros)) {
+        all.remove();
+        entry.worker = entry.worker.withSlowStartEnd(0);
+        changed.add(entry.worker);
+        continue;
+      }
       WorkerInstance refreshed = withSlowStartNodes(entry.worker, nowMicros);
       if (!refreshed.equals(entry.worker)) {
         entry.worker = refreshed;
--- a/src/main/java/org/otterpond/control/primary/WorkerReportHandler.java
+++ b/src/main/java/org/otterpond/control/primary/WorkerReportHandler.java
@@ -82,11 +82,14 @@
     }
   }
 
-  /** Replaces nodes without a lease among those that may send to workers in slow start. */
+  /**
+   * Replaces nodes without a lease among those that may send to workers in slow start, and records
+   * the end of slow starts: after a loss of all processes they would begin anew.
+   */
   void refreshSlowStarts() {
-    List<WorkerInstance> changed = registry.refreshSlowStartNodes(runtime.now());
-    changed.forEach(worker -> write(worker, () -> {}));
-    if (!changed.isEmpty()) {
+    long knownVersion = registry.version();
+    registry.refreshSlowStarts(runtime.now()).forEach(worker -> write(worker, () -> {}));
+    if (registry.version() > knownVersion) {
       core.workersChanged();
     }
   }
--- a/src/test/java/org/otterpond/control/primary/WorkerRegistryTest.java
+++ b/src/test/java/org/otterpond/control/primary/WorkerRegistryTest.java
@@ -67,4 +67,19 @@
     assertEquals(WorkerState.LOST, registry.get("w1").state());
     assertTrue(registry.isReplaced(registry.get("w1")));
   }
+
+  @Test
+  void givenSlowStart_whenItsTimeHasPassed_thenItsEndIsReportedOnceAndNodesNeedNotKnow() {
+    registry.reset(0);
+    registry.update(worker("w1", "a1", 1).withSlowStartEnd(3_000_000), 0);
+    assertEquals(List.of(), registry.refreshSlowStarts(2_999_999));
+    long version = registry.version();
+
+    List<WorkerInstance> ended = registry.refreshSlowStarts(3_000_000);
+
+    assertEquals(List.of(registry.get("w1")), ended);
+    assertEquals(0, ended.get(0).slowStartEndMicros());
+    assertEquals(version, registry.version());
+    assertEquals(List.of(), registry.refreshSlowStarts(3_100_000));
+  }
 }
--- a/src/test/java/org/otterpond/simulation/SlowStartPropagationTest.java
+++ b/src/test/java/org/otterpond/simulation/SlowStartPropagationTest.java
@@ -122,4 +122,21 @@
     long kept = replaced.stream().filter(chosen::contains).count();
     assertEquals(2, kept, "the others keep their places");
   }
+
+  // Guards against slow starts that begin anew with the process, so that nobody uses warm workers.
+  @Test
+  void slowStartThatIsOverDoesNotBeginAnewAfterPowerLossOfAllMachines() {
+    SimulatedCluster cluster = bootstrap(62, 4, 8, 1);
+    heartbeat(cluster, 1, SLOW_START_MICROS);
+    cluster.world.run(SLOW_START_MICROS + SECOND_MICROS);
+
+    cluster.nodes.forEach(SimulatedNode::losePower);
+    cluster.nodes.forEach(SimulatedNode::start);
+    cluster.world.run(3 * SECOND_MICROS);
+
+    for (SimulatedNode node : cluster.nodes) {
+      assertTrue(node.workers.containsKey("w1"), node.address + " does not know the worker");
+      assertFalse(node.workers.get("w1").inSlowStart(cluster.world.now()), node.address);
+    }
+  }
 }
