--- a/src/test/java/org/otterpond/server/LoopbackNode.java
+++ b/src/test/java/org/otterpond/server/LoopbackNode.java
@@ -105,19 +105,23 @@
 
   /** Registers a worker instance of a service. */
   void beat(String instance, String service, int workerPort, int slots) throws Exception {
-    beat(instance, service, workerPort, slots, 1);
+    beat(instance, service, workerPort, "\"call_sequence\":1,\"capacity_slots\":" + slots);
   }
 
-  /** Registers a worker instance, or another address of one; later calls have higher numbers. */
-  void beat(String instance, String service, int workerPort, int slots, int call) throws Exception {
+  /**
+   * Sends a heartbeat of a worker in service.
+   *
+   * @param moreFields the other fields, as JSON without braces
+   */
+  void beat(String instance, String service, int workerPort, String moreFields) throws Exception {
     String beat =
         "{\"target_service\":\""
             + service
             + "\",\"address\":\"127.0.0.1:"
             + workerPort
-            + "\",\"zone\":\"z\",\"capacity_slots\":"
-            + slots
-            + ",\"state\":\"in_service\",\"call_sequence\":1}";
+            + "\",\"zone\":\"z\",\"state\":\"in_service\","
+            + moreFields
+            + "}";
     untilAnswered(
         control,
         "POST /-/Instances.Heartbeat/"
