Tests of clients that leave: the fixture and the hedged requests are classes of their own

The same tests and assertions in ClientDepartureTest (22 cases) and HedgedRequestDepartureTest (3), over one fixture.

--- a/src/test/java/org/otterpond/server/ClientDepartureTest.java
+++ b/src/test/java/org/otterpond/server/ClientDepartureTest.java
@@ -15,14 +15,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,23 +25,7 @@
  * Clients that leave before their responses are complete, through one node's real sockets: what is
  * cancelled, and what goes on. The operators allow half a second after the close.
  */
-class ClientDepartureTest {
-  private static final long ALLOWED_MILLIS = 500;
-  private static final long ARRIVAL_MILLIS = 5_000;
-
-  /** Each test case has a service of its own. */
-  private static final int SERVICES = 40;
-
-  private static final Pattern VIOLATIONS =
-      Pattern.compile("(?m)^otterpond_departures_violations_total (.*)$");
-
-  private static LoopbackNode node;
-  private static int lastService;
-  private static int lastAttempt;
-
-  private String service;
-  private HoldingWorker worker;
-
+class ClientDepartureTest extends ClientDepartureFixture {
   /** How a client leaves. */
   private enum Departure {
     END {
@@ -91,100 +67,6 @@
     abstract void of(RawClient client) throws IOException;
   }
 
-  @BeforeAll
-  static void startNode(@TempDir Path folder) throws Exception {
-    node = new LoopbackNode(folder, "\"retry_ratio\":0.9", () -> {});
-    node.configure(configuration(1));
-  }
-
-  private static String configuration(int revision) {
-    return "{\"revision\":"
-        + revision
-        + ",\"route_table\":["
-        + services(ClientDepartureTest::routes)
-        + "],\"service_table\":["
-        + services(name -> "{\"name\":\"" + name + "\"}")
-        + "]}";
-  }
-
-  private static String services(Function<String, String> json) {
-    return IntStream.rangeClosed(1, SERVICES)
-        .mapToObj(number -> json.apply("s" + number))
-        .collect(Collectors.joining(","));
-  }
-
-  private static String routes(String name) {
-    return String.join(
-        ",",
-        LoopbackNode.route("/" + name + "/i/", "idempotent", name, 10_000, 8_000),
-        LoopbackNode.route("/" + name + "/quick/", "idempotent", name, 10_000, 400),
-        LoopbackNode.route("/" + name + "/n/", "non_idempotent", name, 10_000, 8_000),
-        LoopbackNode.route("/" + name + "/k/", "keyed", name, 10_000, 8_000));
-  }
-
-  @BeforeEach
-  void startWorker() throws Exception {
-    service = "s" + ++lastService;
-    worker = startWorker("first", 1);
-  }
-
-  /** Starts a worker of the service of this test, which the node knows when this returns. */
-  private HoldingWorker startWorker(String name, int slots) throws Exception {
-    HoldingWorker started = new HoldingWorker();
-    node.beat(service + "-" + name, service, started.port(), slots);
-    for (int i = 0; i < 200; i++) {
-      try (RawClient client = send("GET", "i/up", "")) {
-        HeldRequest up = worker == null ? started.next(ARRIVAL_MILLIS) : next(started);
-        assertNotNull(up, "no request reached any worker");
-        up.answer();
-        assertTrue(client.answer().startsWith("HTTP/1.1 200"));
-        if (started.requests.remove(up)) {
-          return started;
-        }
-        worker.requests.remove(up);
-      }
-    }
-    throw new IllegalStateException("the worker never got a request");
-  }
-
-  @AfterEach
-  void nothingWasKeptForClientsThatHadLeft() throws Exception {
-    worker.close();
-    try (RawClient client = new RawClient(node.control)) {
-      String metrics = client.send("GET /-/metrics HTTP/1.1\r\nHost: c\r\n\r\n").answer();
-      Matcher violations = VIOLATIONS.matcher(metrics);
-      assertTrue(violations.find(), metrics);
-      assertEquals(0, Double.parseDouble(violations.group(1)));
-    }
-  }
-
-  private RawClient send(String method, String path, String headers) throws IOException {
-    return new RawClient(node.front).send(request(method, path, headers));
-  }
-
-  private String request(String method, String path, String headers) {
-    return method
-        + " /"
-        + service
-        + "/"
-        + path
-        + " HTTP/1.1\r\nHost: h.example\r\nX-Otterpond-Attempt-Id: d"
-        + ++lastAttempt
-        + "\r\n"
-        + headers
-        + "\r\n";
-  }
-
-  private RawClient sendKeyed(String key) throws IOException {
-    return send("POST", "k/order", "X-Otterpond-Operation-Key: " + service + key + "\r\n");
-  }
-
-  private HeldRequest arrival() throws InterruptedException {
-    HeldRequest request = worker.next(ARRIVAL_MILLIS);
-    assertNotNull(request, "no request reached the worker");
-    return request;
-  }
-
   // ------------------------------------------------------------------- at a worker
 
   @ParameterizedTest
@@ -375,78 +257,6 @@
     assertNull(worker.next(2 * ALLOWED_MILLIS));
   }
 
-  // ----------------------------------------------------------------------- hedged
-
-  /** The hedged request would be sent after 0.9 of the latency target of 400 ms. */
-  @Test
-  void noHedgedRequestIsSentAfterTheClientLeft() throws Exception {
-    try (HoldingWorker second = startWorker("second", 1)) {
-      earnRetries(second);
-      RawClient client = send("GET", "quick/hedged", "");
-      next(second);
-
-      client.close();
-
-      TimeUnit.MILLISECONDS.sleep(2 * ALLOWED_MILLIS);
-      assertEquals(1, worker.requests.size() + second.requests.size());
-    }
-  }
-
-  @Test
-  void bothAttemptsOfHedgedRequestAreCancelled() throws Exception {
-    try (HoldingWorker second = startWorker("second", 1)) {
-      earnRetries(second);
-      RawClient client = send("GET", "quick/hedged", "");
-      HeldRequest first = next(second);
-      HeldRequest hedged = next(second);
-
-      client.close();
-
-      assertTrue(first.brokenOffWithin(ALLOWED_MILLIS));
-      assertTrue(hedged.brokenOffWithin(ALLOWED_MILLIS));
-    }
-  }
-
-  /** The client reads nothing, so that the response of the hedged request stays in the node. */
-  @Test
-  void slowerAttemptIsCancelledWhenTheClientLeavesBeforeItHasTakenTheResponse() throws Exception {
-    try (HoldingWorker second = startWorker("second", 1)) {
-      earnRetries(second);
-      RawClient client = send("GET", "quick/large-response", "");
-      HeldRequest slower = next(second);
-      HeldRequest hedged = next(second);
-      hedged.answer(ScriptedWorker.ok(hedged.text, "x".repeat(20_000_000)));
-      assertFalse(slower.brokenOffWithin(ALLOWED_MILLIS), "it has its time while the client waits");
-
-      client.reset();
-
-      assertTrue(slower.brokenOffWithin(ALLOWED_MILLIS));
-    }
-  }
-
-  private void earnRetries(HoldingWorker second) throws Exception {
-    for (int i = 0; i < 30; i++) {
-      try (RawClient client = send("GET", "quick/earns-retries", "")) {
-        next(second).answer();
-        client.answer();
-      }
-    }
-    worker.requests.clear();
-    second.requests.clear();
-  }
-
-  /** Returns the next request that arrives at either worker. */
-  private HeldRequest next(HoldingWorker second) throws InterruptedException {
-    for (int i = 0; i < 500; i++) {
-      HeldRequest request = worker.next(5);
-      request = request == null ? second.next(5) : request;
-      if (request != null) {
-        return request;
-      }
-    }
-    throw new IllegalStateException("no request reached either worker");
-  }
-
   // ------------------------------------------------------------------------- many
 
   /** What the cancelled requests held comes back, and once: the worker's slots bound the rest. */
