The table keeps its own choice of nodes for a slow start; ended ones are no news

Cause, found by reading the change again: a node that came back with a complete table of another epoch reported its own list of nodes for a worker, and the primary took it over the one in force; and as a slow start that is over kept its past end, every node would have reported every worker that once joined cold after each takeover. Change: what is known wins over what is reported; only the primary's table replaces the nodes that a node knows; an ended slow start compares as 0.

--- a/src/main/java/org/otterpond/control/agent/UpdateApplier.java
+++ b/src/main/java/org/otterpond/control/agent/UpdateApplier.java
@@ -89,7 +89,7 @@
   private void applyTableUpdate(WorkerTableUpdate update) {
     long now = runtime.now();
     if (update.complete() == null) {
-      update.changed().forEach(report -> roster.merge(report.worker(now)));
+      update.changed().forEach(report -> roster.mergeFromPrimary(report.worker(now)));
       return;
     }
     WorkerTable table;
@@ -103,7 +103,7 @@
     for (WorkerReport report : table.workers()) {
       WorkerInstance worker = report.worker(now);
       primaryTable.put(worker.id(), worker);
-      roster.merge(worker);
+      roster.mergeFromPrimary(worker);
     }
     if (update.reportDifferences()) {
       roster.compareWith(primaryTable);
--- a/src/main/java/org/otterpond/control/agent/WorkerRoster.java
+++ b/src/main/java/org/otterpond/control/agent/WorkerRoster.java
@@ -40,13 +40,29 @@
   }
 
   /**
-   * Merges what is known of one instance with an update.
+   * Merges what is known of one instance with the primary's table, which decides on the nodes for
+   * its slow start.
+   */
+  void mergeFromPrimary(WorkerInstance update) {
+    WorkerInstance known = workers.get(update.id());
+    if (known == null || update.slowStartNodes().isEmpty()) {
+      merge(update);
+    } else {
+      merge(known, known.withSlowStartNodes(update.slowStartNodes()).merge(update));
+    }
+  }
+
+  /**
+   * Merges what is known of one instance with a heartbeat.
    *
    * @return whether it is a new instance or has changed in what matters to routing
    */
   boolean merge(WorkerInstance update) {
-    WorkerInstance previous = workers.get(update.id());
-    WorkerInstance merged = previous == null ? update : previous.merge(update);
+    WorkerInstance known = workers.get(update.id());
+    return merge(known, known == null ? update : known.merge(update));
+  }
+
+  private boolean merge(WorkerInstance previous, WorkerInstance merged) {
     if (merged.equals(previous)) {
       return false;
     }
@@ -74,7 +90,9 @@
 
   /** Marks for the next report each instance of which this node knows more than the primary. */
   void compareWith(Map<String, WorkerInstance> primaryTable) {
-    for (WorkerInstance own : workers.values()) {
+    long now = runtime.now();
+    for (WorkerInstance known : workers.values()) {
+      WorkerInstance own = known.withoutEndedSlowStart(now);
       WorkerInstance other = primaryTable.get(own.id());
       if (own.changesRoutingOf(other) && (other != null || !hasEnded(own))) {
         unreported.put(own.id(), own);
--- a/src/main/java/org/otterpond/control/state/WorkerInstance.java
+++ b/src/main/java/org/otterpond/control/state/WorkerInstance.java
@@ -182,7 +182,9 @@
 
   /** Returns this instance with other nodes that may send to it in its slow start. */
   public WorkerInstance withSlowStartNodes(List<String> otherNodes) {
-    return with(state, slowStartEndMicros, List.copyOf(otherNodes));
+    return slowStartNodes.equals(otherNodes)
+        ? this
+        : with(state, slowStartEndMicros, List.copyOf(otherNodes));
   }
 
   private WorkerInstance with(WorkerState otherState, long otherEnd, List<String> otherNodes) {
@@ -190,6 +192,11 @@
         id, service, address, zone, revision, slots, otherState, sequence, otherEnd, otherNodes);
   }
 
+  /** Returns this instance, with 0 for the end of a slow start that is over. */
+  public WorkerInstance withoutEndedSlowStart(long nowMicros) {
+    return inSlowStart(nowMicros) || slowStartEndMicros == 0 ? this : withSlowStartEnd(0);
+  }
+
   /** Returns whether the worker is in slow start. */
   public boolean inSlowStart(long nowMicros) {
     return slowStartEndMicros > nowMicros;
@@ -198,13 +205,12 @@
   /**
    * Returns the newer of this known description and a received one of the same instance. An
    * instance that is gone stays gone, and one that is draining takes no new requests again. The
-   * nodes for its slow start come from the primary, whichever description is newer.
+   * nodes for its slow start stay as they are known, whichever description is newer.
    */
   public WorkerInstance merge(WorkerInstance received) {
     WorkerInstance newest = newest(received);
-    List<String> nodes =
-        received.slowStartNodes.isEmpty() ? slowStartNodes : received.slowStartNodes;
-    return newest.slowStartNodes.equals(nodes) ? newest : newest.withSlowStartNodes(nodes);
+    List<String> nodes = slowStartNodes.isEmpty() ? received.slowStartNodes : slowStartNodes;
+    return newest.withSlowStartNodes(nodes);
   }
 
   private WorkerInstance newest(WorkerInstance received) {
--- a/src/test/java/org/otterpond/control/agent/WorkerRosterTest.java
+++ b/src/test/java/org/otterpond/control/agent/WorkerRosterTest.java
@@ -78,4 +78,37 @@
 
     assertEquals(withOneWorker, roster.checksum());
   }
+
+  @Test
+  void nodesForSlowStartComeFromThePrimaryAndNotFromHeartbeats() {
+    WorkerInstance cold =
+        worker("w1", WorkerState.IN_SERVICE, 1).withSlowStartEnd(runtime.now() + 3 * SECONDS);
+    roster.merge(cold);
+    roster.mergeFromPrimary(cold.withSlowStartNodes(List.of("n1", "n2")));
+    assertEquals(List.of("n1", "n2"), roster.get("w1").slowStartNodes());
+
+    roster.merge(
+        worker("w1", WorkerState.IN_SERVICE, 2).withSlowStartEnd(runtime.now() + 3 * SECONDS));
+    assertEquals(List.of("n1", "n2"), roster.get("w1").slowStartNodes());
+
+    roster.mergeFromPrimary(cold.withSlowStartNodes(List.of("n1", "n3")));
+    assertEquals(List.of("n1", "n3"), roster.get("w1").slowStartNodes());
+    assertEquals(2, roster.get("w1").sequence());
+    assertEquals(3, changes.size());
+  }
+
+  // Guards against nodes that report every worker that once was in slow start after each takeover.
+  @Test
+  void slowStartThatIsOverIsNoNewsForThePrimary() {
+    WorkerInstance cold =
+        worker("w1", WorkerState.IN_SERVICE, 1).withSlowStartEnd(runtime.now() + 3 * SECONDS);
+    roster.merge(cold);
+    runtime.run(2 * SECONDS);
+    roster.compareWith(Map.of("w1", cold.withSlowStartEnd(0)));
+    assertEquals(1, roster.takeUnreported().size());
+
+    runtime.run(2 * SECONDS);
+    roster.compareWith(Map.of("w1", cold.withSlowStartEnd(0)));
+    assertTrue(roster.takeUnreported().isEmpty());
+  }
 }
--- a/src/test/java/org/otterpond/control/primary/WorkerRegistryTest.java
+++ b/src/test/java/org/otterpond/control/primary/WorkerRegistryTest.java
@@ -14,7 +14,7 @@
   private static final long TIMEOUT = 3_500_000;
 
   private final WorkerRegistry registry =
-      new WorkerRegistry(HEARTBEAT, (worker, replaceMissing) -> List.of());
+      new WorkerRegistry(HEARTBEAT, (worker, replaceMissing) -> worker.slowStartNodes());
 
   private static WorkerInstance worker(String id, String address, long sequence) {
     return new WorkerInstance(
@@ -82,4 +82,14 @@
     assertEquals(version, registry.version());
     assertEquals(List.of(), registry.refreshSlowStarts(3_100_000));
   }
+
+  // Guards against the choice of an earlier primary that a node still holds and reports.
+  @Test
+  void givenNodesForSlowStart_whenOthersAreReported_thenTheTableKeepsItsOwn() {
+    registry.reset(0);
+    WorkerInstance cold = worker("w1", "a1", 1).withSlowStartEnd(3_000_000);
+    registry.update(cold.withSlowStartNodes(List.of("n1")), 0);
+    registry.update(worker("w1", "a1", 2).withSlowStartNodes(List.of("n2")), 10);
+    assertEquals(List.of("n1"), registry.get("w1").slowStartNodes());
+  }
 }
